Move the store's Protocol out of platform/ and begin the users' platform adapter

The Protocol and its in-memory twin move to store/ without a change of behaviour. Nothing of it serves yet; not measured.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -21,7 +21,7 @@
     RefusedError,
 )
 from bluebellshore.ids import BudgetId, IncarnationId, InstanceId, Tokens
-from bluebellshore.platform.interface import TableService
+from bluebellshore.store.interface import TableService
 from bluebellshore.wire.link_pb2 import Receipt
 
 __all__ = ["Accountant", "AccountantTimes"]
--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -23,7 +23,7 @@
     ledger_key,
 )
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
-from bluebellshore.platform.interface import ABSENT, Row, Write
+from bluebellshore.store.interface import ABSENT, Row, Write
 
 __all__ = ["Composer", "Cover", "Demand", "Request", "Transaction"]
 
--- a/bluebellshore/budget/journal.py
+++ b/bluebellshore/budget/journal.py
@@ -23,7 +23,7 @@
 )
 from bluebellshore.errors import PlatformError, TransactionConflictError
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
-from bluebellshore.platform.interface import ABSENT, Row, TableService, Write
+from bluebellshore.store.interface import ABSENT, Row, TableService, Write
 
 __all__ = ["CommitResult", "Journal"]
 
--- a/bluebellshore/budget/reclaim.py
+++ b/bluebellshore/budget/reclaim.py
@@ -20,7 +20,7 @@
 from bluebellshore.bundle.model import Release
 from bluebellshore.errors import PlatformError, TransactionConflictError
 from bluebellshore.ids import BudgetId, Epoch, IncarnationId
-from bluebellshore.platform.interface import Row, TableService, Write
+from bluebellshore.store.interface import Row, TableService, Write
 from bluebellshore.wire.link_pb2 import Receipt
 
 __all__ = ["ReclaimReport", "Reclaimer", "SidecarPeers"]
--- a/bluebellshore/budget/recovery.py
+++ b/bluebellshore/budget/recovery.py
@@ -20,7 +20,7 @@
     ledger_prefix,
 )
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
-from bluebellshore.platform.interface import ABSENT, Row, TableService, Write
+from bluebellshore.store.interface import ABSENT, Row, TableService, Write
 from bluebellshore.wire.link_pb2 import Receipt
 
 __all__ = ["Recovery"]
--- a/bluebellshore/budget/rows.py
+++ b/bluebellshore/budget/rows.py
@@ -16,7 +16,7 @@
     Tokens,
     VersionName,
 )
-from bluebellshore.platform.interface import Row
+from bluebellshore.store.interface import Row
 from bluebellshore.wire.link_pb2 import Receipt
 
 __all__ = [
--- a/bluebellshore/bundle/keeper.py
+++ b/bluebellshore/bundle/keeper.py
@@ -25,7 +25,7 @@
 from bluebellshore.bundle.signing import Verifier
 from bluebellshore.errors import BundleError
 from bluebellshore.ids import BundleNumber, CustomerId
-from bluebellshore.platform.interface import ObjectStore, TableService
+from bluebellshore.store.interface import ObjectStore, TableService
 
 __all__ = ["BundleKeeper"]
 
--- a/bluebellshore/bundle/rows.py
+++ b/bluebellshore/bundle/rows.py
@@ -22,7 +22,7 @@
 from bluebellshore.bundle.signing import decode_payload
 from bluebellshore.errors import BundleError
 from bluebellshore.ids import BundleNumber
-from bluebellshore.platform.interface import ObjectStore, TableService
+from bluebellshore.store.interface import ObjectStore, TableService
 
 __all__ = [
     "HEAD_KEY",
--- a/bluebellshore/bundle/store.py
+++ b/bluebellshore/bundle/store.py
@@ -40,7 +40,7 @@
     TransactionConflictError,
 )
 from bluebellshore.ids import BundleNumber, MoveId
-from bluebellshore.platform.interface import (
+from bluebellshore.store.interface import (
     ABSENT,
     ObjectStore,
     Row,
--- a/bluebellshore/duties/answers.py
+++ b/bluebellshore/duties/answers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bluebellshore.platform.interface import ObjectStore
+from bluebellshore.store.interface import ObjectStore
 
 __all__ = ["MAX_ROW_BODY_BYTES", "BodyStore", "Header", "StoredAnswer", "StoredBody"]
 
--- a/bluebellshore/duties/claims.py
+++ b/bluebellshore/duties/claims.py
@@ -14,7 +14,7 @@
 from bluebellshore.duties.persist import pause, until_answered
 from bluebellshore.errors import OverloadError, PlatformError, TransactionConflictError
 from bluebellshore.ids import IncarnationId, RequestKey
-from bluebellshore.platform.interface import (
+from bluebellshore.store.interface import (
     ABSENT,
     ObjectStore,
     Row,
--- a/bluebellshore/duties/dispatch.py
+++ b/bluebellshore/duties/dispatch.py
@@ -28,7 +28,7 @@
     TransactionConflictError,
 )
 from bluebellshore.ids import Epoch, IncarnationId, JobId
-from bluebellshore.platform.interface import Row, Write
+from bluebellshore.store.interface import Row, Write
 
 __all__ = ["JobDispatcher", "RunJob"]
 
--- a/bluebellshore/duties/group.py
+++ b/bluebellshore/duties/group.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from bluebellshore.errors import PlatformError, TransactionConflictError
-from bluebellshore.platform.interface import TableService, Write
+from bluebellshore.store.interface import TableService, Write
 
 __all__ = ["GROUP_SECONDS", "GroupCommit"]
 
--- a/bluebellshore/duties/jobs.py
+++ b/bluebellshore/duties/jobs.py
@@ -17,7 +17,7 @@
     TransactionConflictError,
 )
 from bluebellshore.ids import CustomerId, Epoch, IncarnationId, JobId, RequestKey
-from bluebellshore.platform.interface import (
+from bluebellshore.store.interface import (
     ABSENT,
     ObjectStore,
     Row,
--- a/bluebellshore/duties/lease.py
+++ b/bluebellshore/duties/lease.py
@@ -9,7 +9,7 @@
 
 from bluebellshore.errors import PlatformError, TransactionConflictError
 from bluebellshore.ids import Epoch, IncarnationId
-from bluebellshore.platform.interface import ABSENT, Row, TableService, Write
+from bluebellshore.store.interface import ABSENT, Row, TableService, Write
 
 __all__ = ["Lease", "LeaseRow", "lease_key"]
 
--- /dev/null
+++ b/bluebellshore/entry/knowledge.py
@@ -0,0 +1,201 @@
+"""What a router knows of the platform's rows: the newest that it or a peer saw."""
+
+import eliot
+import msgspec
+
+from bluebellshore.errors import PlatformError
+from bluebellshore.fleet import BackendServer, Configuration, RolloutOrder, ServerState
+from bluebellshore.ids import BackendServerId, ServiceName
+from bluebellshore.platform.configuration import decode_configuration
+from bluebellshore.platform.names import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    ROLLOUT_PREFIX,
+    SERVERS_TABLE,
+)
+from bluebellshore.platform.servers import decode_rollout_order, decode_server
+from bluebellshore.store import Row, TableChange, TableSnapshot
+
+__all__ = ["Knowledge", "Orders", "TABLES"]
+
+#: Tables that routers follow.
+TABLES = (OPERATOR_TABLE, SERVERS_TABLE)
+#: Removals remembered for each table, to be told to peers.
+MAX_REMOVED = 2000
+
+
+class Orders(msgspec.Struct, frozen=True):
+    """A rollout order and the row version that tells it from earlier ones."""
+
+    order: RolloutOrder
+    version: int
+
+
+class _Table(msgspec.Struct):
+    """Rows of one table, complete up to `version`."""
+
+    version: int = -1
+    rows_by_key: dict[str, Row] = msgspec.field(default_factory=dict)
+    removed_by_key: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+class Knowledge:
+    """Configuration, backend servers and orders in force at this router.
+
+    Rows only ever move to newer versions, whether the store or a peer tells of them.
+
+    :param lapse_seconds: entries that lapsed during an outage of the store count for
+        this long after it.
+    :ivar configuration: None until one is known.
+    """
+
+    def __init__(self, lapse_seconds: float):
+        self._lapse_seconds = lapse_seconds
+        self._tables: dict[str, _Table] = {name: _Table() for name in TABLES}
+        self._lapsed_until: dict[BackendServerId, float] = {}
+        self.configuration: Configuration | None = None
+        self.servers_by_id: dict[BackendServerId, BackendServer] = {}
+        self.orders_by_service: dict[ServiceName, Orders] = {}
+        #: Backend servers that began anew or went since the last look.
+        self.renewed: list[BackendServerId] = []
+
+    def versions(self) -> dict[str, int]:
+        """Return the version up to which each table is complete."""
+        return {name: table.version for name, table in self._tables.items()}
+
+    def servers_of(self, service: ServiceName, now: float) -> list[BackendServer]:
+        """Return the backend servers of a service that take new requests."""
+        self._drop_lapsed(now)
+        return [
+            server
+            for server in self.servers_by_id.values()
+            if server.service == service and server.state is ServerState.READY
+        ]
+
+    def apply_snapshot(
+        self, name: str, snapshot: TableSnapshot, now: float, *, after_outage: bool
+    ) -> None:
+        """Take in a whole table."""
+        table = self._tables[name]
+        removed = {
+            key: snapshot.version
+            for key, row in table.rows_by_key.items()
+            if key not in snapshot.rows_by_key and row.version <= snapshot.version
+        }
+        change = TableChange(
+            list(snapshot.rows_by_key.values()), removed, snapshot.version
+        )
+        self.apply(name, change, now, after_outage=after_outage)
+
+    def apply(
+        self, name: str, change: TableChange, now: float, *, after_outage: bool = False
+    ) -> None:
+        """Take in changes of a table.
+
+        :param after_outage: entries of backend servers may have lapsed unseen.
+        """
+        table = self._tables[name]
+        for key, version in change.removed_by_key.items():
+            known = table.rows_by_key.get(key)
+            if known is not None and known.version <= version:
+                del table.rows_by_key[key]
+                self._remove(key, now, after_outage=after_outage)
+            table.removed_by_key[key] = version
+        for row in change.rows:
+            known = table.rows_by_key.get(row.key)
+            if known is not None and known.version >= row.version:
+                continue
+            if table.removed_by_key.get(row.key, -1) >= row.version:
+                continue
+            table.rows_by_key[row.key] = row
+            table.removed_by_key.pop(row.key, None)
+            self._put(row)
+        while len(table.removed_by_key) > MAX_REMOVED:
+            del table.removed_by_key[next(iter(table.removed_by_key))]
+        table.version = max(table.version, change.version)
+
+    def newer_than(self, versions: dict[str, int]) -> dict[str, TableChange]:
+        """Return what a peer with `versions` lacks, by table."""
+        changes = {}
+        for name, table in self._tables.items():
+            after = versions.get(name, -1)
+            if table.version <= after:
+                continue
+            rows = [row for row in table.rows_by_key.values() if row.version > after]
+            removed = {k: v for k, v in table.removed_by_key.items() if v > after}
+            changes[name] = TableChange(rows, removed, table.version)
+        return changes
+
+    def _put(self, row: Row) -> None:
+        try:
+            if row.key == CONFIGURATION_KEY:
+                self._put_configuration(row)
+            elif row.key.startswith(ROLLOUT_PREFIX):
+                order = decode_rollout_order(row.value)
+                self.orders_by_service[order.service] = Orders(order, row.version)
+            elif row.key.startswith(f"{SERVERS_TABLE}/"):
+                self._put_server(row)
+        except PlatformError as error:
+            eliot.log_message(
+                "row_ignored", key=row.key, version=row.version, reason=error.message
+            )
+            if row.key.startswith(f"{SERVERS_TABLE}/"):
+                self.servers_by_id.pop(_server_id(row.key), None)
+
+    def _put_configuration(self, row: Row) -> None:
+        configuration = decode_configuration(row.value)
+        if self.configuration and configuration.number < self.configuration.number:
+            eliot.log_message(
+                "older_configuration_ignored", number=configuration.number
+            )
+            return
+        self.configuration = configuration
+        eliot.log_message(
+            "configuration_in_force",
+            number=configuration.number,
+            row_version=row.version,
+            routes=len(configuration.routes),
+            customers=len(configuration.customers_by_id),
+        )
+
+    def _put_server(self, row: Row) -> None:
+        server_id = _server_id(row.key)
+        server = decode_server(server_id, row.value)
+        known = self.servers_by_id.get(server_id)
+        self._lapsed_until.pop(server_id, None)
+        self.servers_by_id[server_id] = server
+        if known is not None and known.born != server.born:
+            self.renewed.append(server_id)
+        if known is None or (known.state, known.born) != (server.state, server.born):
+            eliot.log_message(
+                "backend_server",
+                server=server_id,
+                state=server.state.value,
+                address=server.address,
+                version=server.version,
+                row_version=row.version,
+            )
+
+    def _remove(self, key: str, now: float, *, after_outage: bool) -> None:
+        if not key.startswith(f"{SERVERS_TABLE}/"):
+            return
+        server_id = _server_id(key)
+        if after_outage and server_id in self.servers_by_id:
+            self._lapsed_until.setdefault(server_id, now + self._lapse_seconds)
+        else:
+            self._forget(server_id, "entry removed")
+
+    def _drop_lapsed(self, now: float) -> None:
+        for server_id, until in list(self._lapsed_until.items()):
+            if now >= until:
+                del self._lapsed_until[server_id]
+                self._forget(server_id, "entry missing after an outage")
+
+    def _forget(self, server_id: BackendServerId, reason: str) -> None:
+        if self.servers_by_id.pop(server_id, None) is not None:
+            self.renewed.append(server_id)
+            eliot.log_message("backend_server_gone", server=server_id, reason=reason)
+
+
+def _server_id(key: str) -> BackendServerId:
+    return BackendServerId(key.partition("/")[2])
--- /dev/null
+++ b/bluebellshore/entry/watch.py
@@ -0,0 +1,91 @@
+"""Follows the platform's tables and keeps what a router knows up to date."""
+
+import asyncio
+import random
+import time
+
+import eliot
+
+from bluebellshore.entry.knowledge import TABLES, Knowledge
+from bluebellshore.errors import HistoryLostError, PlatformError
+from bluebellshore.store import FeedingTable
+
+__all__ = ["StoreWatch"]
+
+#: Longest wait for changes in one call. A connection that went silent is found after
+#: this time, which must lie below the time after which a router is back in touch.
+WAIT_SECONDS = 1.2
+#: Least time between two calls: backend servers renew their entries many times a
+#: second in all, and each answer is a call that the platform counts.
+PACE_SECONDS = 0.35
+#: Pause after a failed call, with jitter.
+RETRY_SECONDS = 0.25
+#: Time without an answer after which the store counts as lost.
+LOST_SECONDS = 1.5
+
+
+class StoreWatch:
+    """Reads each table once, then waits for its changes."""
+
+    def __init__(self, store: FeedingTable, knowledge: Knowledge):
+        self._store = store
+        self._knowledge = knowledge
+        self._versions: dict[str, int | None] = dict.fromkeys(TABLES)
+        self._seen_at: dict[str, float] = dict.fromkeys(TABLES, -1e9)
+        self._lost = True
+
+    @property
+    def lost(self) -> bool:
+        """Whether the store gave no answer for a while."""
+        return time.monotonic() - min(self._seen_at.values()) > (
+            LOST_SECONDS + WAIT_SECONDS
+        )
+
+    async def run(self) -> None:
+        """Follow all tables until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for table in TABLES:
+                group.create_task(self._follow(table))
+
+    async def _follow(self, table: str) -> None:
+        while True:
+            try:
+                await self._step(table)
+                pause = PACE_SECONDS
+            except HistoryLostError as error:
+                eliot.log_message("store_history_lost", table=table, reason=str(error))
+                self._versions[table] = None
+                pause = 0.0
+            except PlatformError as error:
+                self._note_failure(table, error)
+                pause = RETRY_SECONDS * random.uniform(0.5, 1.5)
+            await asyncio.sleep(pause)
+
+    async def _step(self, table: str) -> None:
+        version = self._versions[table]
+        if version is None:
+            snapshot = await self._store.snapshot(table)
+            now = time.monotonic()
+            self._knowledge.apply_snapshot(
+                table, snapshot, now, after_outage=self._after_outage(table, now)
+            )
+            self._versions[table] = snapshot.version
+        else:
+            change = await self._store.feed(table, version, WAIT_SECONDS)
+            now = time.monotonic()
+            self._knowledge.apply(
+                table, change, now, after_outage=self._after_outage(table, now)
+            )
+            self._versions[table] = change.version
+        self._seen_at[table] = time.monotonic()
+        if self._lost and not self.lost:
+            self._lost = False
+            eliot.log_message("store_regained", versions=self._knowledge.versions())
+
+    def _after_outage(self, table: str, now: float) -> bool:
+        return now - self._seen_at[table] > LOST_SECONDS + WAIT_SECONDS
+
+    def _note_failure(self, table: str, error: PlatformError) -> None:
+        if not self._lost and self.lost:
+            self._lost = True
+            eliot.log_message("store_lost", table=table, reason=str(error))
--- a/bluebellshore/errors.py
+++ b/bluebellshore/errors.py
@@ -1,6 +1,6 @@
 """Exception tree; each error carries the step and the peer at which it arose."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from enum import Enum
 
 __all__ = [
@@ -9,6 +9,7 @@
     "BundleError",
     "BluebellshoreError",
     "InsufficientBudgetError",
+    "HistoryLostError",
     "LinkError",
     "OverloadError",
     "PlatformError",
@@ -79,11 +80,24 @@
     """A conditional write found other versions; nothing was written.
 
     :param keys: keys of the rows whose version differed.
+    :param rows_by_key: the present rows among those written, where they are known.
     """
 
-    def __init__(self, keys: Sequence[str], *, step: str, peer: str = ""):
+    def __init__(
+        self,
+        keys: Sequence[str],
+        *,
+        step: str,
+        peer: str = "",
+        rows_by_key: Mapping[str, object] | None = None,
+    ):
         super().__init__(f"version conflict on {list(keys)}", step=step, peer=peer)
         self.keys = tuple(keys)
+        self.rows_by_key = rows_by_key
+
+
+class HistoryLostError(PlatformError):
+    """The platform forgot the changes that were asked for."""
 
 
 class LinkError(BluebellshoreError):
--- a/bluebellshore/experiments/allotment.py
+++ b/bluebellshore/experiments/allotment.py
@@ -25,8 +25,8 @@
 from bluebellshore.budget.rows import IncarnationRow
 from bluebellshore.errors import PlatformError, PlatformUnavailableError
 from bluebellshore.ids import BudgetId, IncarnationId, InstanceId, Tokens
-from bluebellshore.platform.interface import Row, Write
-from bluebellshore.platform.memory import MemoryTable
+from bluebellshore.store.interface import Row, Write
+from bluebellshore.store.memory import MemoryTable
 from bluebellshore.wire.link_pb2 import Receipt
 
 __all__ = ["DEPLOYMENTS", "Deployment", "Fault", "Outcome", "Report", "run", "simulate"]
--- a/bluebellshore/experiments/claims.py
+++ b/bluebellshore/experiments/claims.py
@@ -9,7 +9,7 @@
 from bluebellshore.duties import Claims
 from bluebellshore.duties.group import GROUP_SECONDS
 from bluebellshore.ids import IncarnationId, RequestKey
-from bluebellshore.platform.memory import MemoryTable
+from bluebellshore.store.memory import MemoryTable
 
 __all__ = ["Outcome", "main", "measure"]
 
--- a/bluebellshore/experiments/contention.py
+++ b/bluebellshore/experiments/contention.py
@@ -10,7 +10,7 @@
 from bluebellshore.budget import Accountant, HorizonPolicy
 from bluebellshore.errors import RefusedError
 from bluebellshore.ids import BudgetId, IncarnationId, InstanceId, Tokens
-from bluebellshore.platform.memory import MemoryTable
+from bluebellshore.store.memory import MemoryTable
 from bluebellshore.wire.link_pb2 import Receipt
 
 __all__ = ["Outcome", "main", "measure"]
--- a/bluebellshore/experiments/cost.py
+++ b/bluebellshore/experiments/cost.py
@@ -25,9 +25,9 @@
     encode_row,
     move_key,
 )
-from bluebellshore.platform import Row
 from bluebellshore.routing import Candidate, PowerOfTwoBalancer
 from bluebellshore.sidecar.queue import AdmissionQueue, QueuedRequest
+from bluebellshore.store import Row
 
 __all__ = ["run"]
 
--- a/bluebellshore/experiments/moves.py
+++ b/bluebellshore/experiments/moves.py
@@ -35,7 +35,7 @@
     Served,
     refresh,
 )
-from bluebellshore.platform.memory import MemoryTable
+from bluebellshore.store.memory import MemoryTable
 
 __all__ = ["Case", "Trial", "run"]
 
--- a/bluebellshore/ids.py
+++ b/bluebellshore/ids.py
@@ -12,8 +12,10 @@
     "InstanceId",
     "JobId",
     "MoveId",
+    "PartId",
     "RequestKey",
     "RouteName",
+    "ServiceName",
     "StreamId",
     "Tokens",
     "VersionName",
@@ -42,3 +44,7 @@
 Epoch = NewType("Epoch", int)
 #: Amount of prepaid tokens.
 Tokens = NewType("Tokens", int)
+#: Service of the platform's configuration: a set of equal backend servers.
+ServiceName = NewType("ServiceName", str)
+#: A part of a prompt.
+PartId = NewType("PartId", str)
--- a/bluebellshore/load/audit.py
+++ b/bluebellshore/load/audit.py
@@ -10,7 +10,7 @@
 from bluebellshore.bundle.model import Bundle
 from bluebellshore.ids import BudgetId, RequestKey
 from bluebellshore.load.results import CallKind, CallOutcome, CallResult
-from bluebellshore.platform.interface import Row, TableService
+from bluebellshore.store.interface import Row, TableService
 
 __all__ = [
     "Execution",
--- a/bluebellshore/load/fleet.py
+++ b/bluebellshore/load/fleet.py
@@ -18,7 +18,6 @@
 from bluebellshore.bundle.signing import generate_keypair, sign_bundle
 from bluebellshore.bundle.store import BundleStore
 from bluebellshore.load.process import FleetError, ManagedProcess
-from bluebellshore.platform.http import HttpPlatform
 from bluebellshore.settings import (
     EngineSettings,
     PlatformSettings,
@@ -27,6 +26,7 @@
     ServiceSettings,
     SidecarSettings,
 )
+from bluebellshore.store.http import HttpPlatform
 
 __all__ = ["Fleet", "open_fleet", "wait_until"]
 
--- a/bluebellshore/load/local.py
+++ b/bluebellshore/load/local.py
@@ -27,7 +27,6 @@
     VersionName,
 )
 from bluebellshore.load.fleet import wait_until
-from bluebellshore.platform.http import HttpPlatform
 from bluebellshore.porcelain import dump_state
 from bluebellshore.router import Router
 from bluebellshore.runtime import Role
@@ -42,6 +41,7 @@
 from bluebellshore.standin.engine import EngineStandin
 from bluebellshore.standin.platform import PlatformStandin
 from bluebellshore.standin.service import ServiceStandin
+from bluebellshore.store.http import HttpPlatform
 
 __all__ = ["LocalSystem", "local_bundle", "open_local"]
 
--- a/bluebellshore/membership.py
+++ b/bluebellshore/membership.py
@@ -7,13 +7,13 @@
 
 from bluebellshore.errors import PlatformError
 from bluebellshore.ids import InstanceId, ZoneName
-from bluebellshore.platform import (
+from bluebellshore.settings import RoleSettings
+from bluebellshore.store import (
     Instance,
     InstanceList,
     InstanceRole,
     InstanceState,
 )
-from bluebellshore.settings import RoleSettings
 
 __all__ = ["Announcer"]
 
--- a/bluebellshore/moves/board.py
+++ b/bluebellshore/moves/board.py
@@ -31,7 +31,7 @@
     move_key,
 )
 from bluebellshore.moves.share import applied_share, takes_new_version
-from bluebellshore.platform import Row
+from bluebellshore.store import Row
 from bluebellshore.wire import link_pb2
 
 __all__ = ["MoveBoard", "MoveStatus", "Progress"]
--- a/bluebellshore/moves/controller.py
+++ b/bluebellshore/moves/controller.py
@@ -19,7 +19,7 @@
     move_id_of,
     move_key,
 )
-from bluebellshore.platform import ABSENT, Row, TableService, Write
+from bluebellshore.store import ABSENT, Row, TableService, Write
 from bluebellshore.wire import link_pb2
 
 __all__ = ["RESTORE_SECONDS", "MoveController", "decide", "refresh"]
--- a/bluebellshore/moves/rows.py
+++ b/bluebellshore/moves/rows.py
@@ -6,7 +6,7 @@
 
 from bluebellshore.bundle.model import Move
 from bluebellshore.ids import BundleNumber, Epoch, MoveId, RouteName, VersionName
-from bluebellshore.platform import Row
+from bluebellshore.store import Row
 
 __all__ = [
     "MOVE_PREFIX",
--- a/bluebellshore/porcelain/bundles.py
+++ b/bluebellshore/porcelain/bundles.py
@@ -18,10 +18,10 @@
 from bluebellshore.bundle.store import BundleStore
 from bluebellshore.errors import BluebellshoreError, PlatformError
 from bluebellshore.ids import BundleNumber, InstanceId
-from bluebellshore.platform.http import HttpPlatform
-from bluebellshore.platform.interface import Instance, InstanceRole
 from bluebellshore.porcelain.clients import open_platform, request
 from bluebellshore.settings import SubmitSettings
+from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store.interface import Instance, InstanceRole
 
 __all__ = [
     "KeyView",
--- a/bluebellshore/porcelain/clients.py
+++ b/bluebellshore/porcelain/clients.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from bluebellshore.errors import BluebellshoreError, RefusedError
-from bluebellshore.platform.http import HttpPlatform
+from bluebellshore.store.http import HttpPlatform
 
 __all__ = ["open_platform", "request"]
 
--- a/bluebellshore/porcelain/readback.py
+++ b/bluebellshore/porcelain/readback.py
@@ -11,10 +11,10 @@
 from bluebellshore.errors import BluebellshoreError, PlatformError
 from bluebellshore.ids import BudgetId, BundleNumber, MoveId, Tokens
 from bluebellshore.moves.rows import MoveRow, MoveState, move_key
-from bluebellshore.platform.http import HttpPlatform
-from bluebellshore.platform.interface import Instance, InstanceRole, Row
 from bluebellshore.porcelain.clients import open_platform, request
 from bluebellshore.settings import OperatorSettings
+from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store.interface import Instance, InstanceRole, Row
 
 __all__ = [
     "BudgetView",
--- a/bluebellshore/router/duties.py
+++ b/bluebellshore/router/duties.py
@@ -15,10 +15,10 @@
 from bluebellshore.ids import Epoch, IncarnationId
 from bluebellshore.moves.board import MoveBoard
 from bluebellshore.moves.controller import MoveController
-from bluebellshore.platform.http import HttpPlatform
 from bluebellshore.router.gossip import Gossip
 from bluebellshore.router.jobs import JobRunner
 from bluebellshore.settings import RouterSettings
+from bluebellshore.store.http import HttpPlatform
 from bluebellshore.wire import link_pb2 as pb
 
 __all__ = ["RouterDuties"]
--- a/bluebellshore/router/incarnation.py
+++ b/bluebellshore/router/incarnation.py
@@ -24,8 +24,6 @@
 from bluebellshore.metrics import make_metrics
 from bluebellshore.moves.board import MoveBoard
 from bluebellshore.operator_port import OperatorPort, public_settings
-from bluebellshore.platform import Instance, InstanceRole, InstanceState
-from bluebellshore.platform.http import HttpPlatform
 from bluebellshore.router.attempts import Attempts
 from bluebellshore.router.dispatch import Dispatcher
 from bluebellshore.router.duties import RouterDuties
@@ -41,6 +39,8 @@
     RoundRobinBalancer,
 )
 from bluebellshore.settings import RouterSettings
+from bluebellshore.store import Instance, InstanceRole, InstanceState
+from bluebellshore.store.http import HttpPlatform
 from bluebellshore.wire import RouterLink
 from bluebellshore.wire import link_pb2 as pb
 
--- a/bluebellshore/sidecar/sidecar.py
+++ b/bluebellshore/sidecar/sidecar.py
@@ -20,8 +20,6 @@
 from bluebellshore.metrics import make_metrics
 from bluebellshore.moves.evidence import EvidenceRecorder, Served
 from bluebellshore.operator_port import OperatorPort, public_settings
-from bluebellshore.platform import InstanceRole
-from bluebellshore.platform.http import HttpPlatform
 from bluebellshore.settings import SidecarSettings
 from bluebellshore.sidecar.backend import BackendClient
 from bluebellshore.sidecar.exchange import Exchange
@@ -39,6 +37,8 @@
     stopping,
 )
 from bluebellshore.sidecar.streams import Answer, AnswerStore
+from bluebellshore.store import InstanceRole
+from bluebellshore.store.http import HttpPlatform
 from bluebellshore.wire import LinkServer, SidecarLink
 from bluebellshore.wire import link_pb2 as pb
 
--- a/bluebellshore/standin/engine_core.py
+++ b/bluebellshore/standin/engine_core.py
@@ -13,13 +13,13 @@
 import msgspec
 
 from bluebellshore.errors import BackendServerError
-from bluebellshore.platform.lagged import LaggedValue
 from bluebellshore.settings import EngineSettings
 from bluebellshore.standin.batch import Batch
 from bluebellshore.standin.engine_faults import FaultPolicy, Misbehaviour
 from bluebellshore.standin.engine_orders import FencingMode, OrderBook
 from bluebellshore.standin.generation import ChatRequest, prompt_blocks
 from bluebellshore.standin.prefix_cache import PrefixCache
+from bluebellshore.store.lagged import LaggedValue
 
 __all__ = [
     "EngineHealth",
--- a/bluebellshore/standin/platform.py
+++ b/bluebellshore/standin/platform.py
@@ -14,15 +14,22 @@
     TransactionConflictError,
 )
 from bluebellshore.ids import InstanceId
-from bluebellshore.platform.interface import Instance, InstanceState
-from bluebellshore.platform.memory import (
+from bluebellshore.settings import PlatformSettings
+from bluebellshore.standin.server import (
+    MAX_BODY_BYTES,
+    HttpServer,
+    decode_body,
+    json_response,
+)
+from bluebellshore.store.interface import Instance, InstanceState
+from bluebellshore.store.memory import (
     MemoryFaults,
     MemoryInstances,
     MemoryObjects,
     MemoryTable,
     OperationCounts,
 )
-from bluebellshore.platform.messages import (
+from bluebellshore.store.messages import (
     ConflictAnswer,
     InstancesAnswer,
     ReadRequest,
@@ -31,13 +38,6 @@
     TransactAnswer,
     TransactRequest,
 )
-from bluebellshore.settings import PlatformSettings
-from bluebellshore.standin.server import (
-    MAX_BODY_BYTES,
-    HttpServer,
-    decode_body,
-    json_response,
-)
 
 __all__ = [
     "PlatformFaults",
@@ -51,7 +51,7 @@
 class PlatformFaults(msgspec.Struct, forbid_unknown_fields=True):
     """Body of ``POST /control/faults``; fields left out stay as they are.
 
-    See :class:`~bluebellshore.platform.MemoryFaults` for their meaning. The instance
+    See :class:`~bluebellshore.store.MemoryFaults` for their meaning. The instance
     list fails on its own.
 
     :param list_outage: whether the instance list gives no answers.
--- /dev/null
+++ b/bluebellshore/store/__init__.py
@@ -0,0 +1,45 @@
+"""The platform's services as the fleet sees them."""
+
+from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store.interface import (
+    ABSENT,
+    FeedingTable,
+    Instance,
+    InstanceList,
+    InstanceRole,
+    InstanceState,
+    ObjectStore,
+    Row,
+    TableChange,
+    TableService,
+    TableSnapshot,
+    Write,
+)
+from bluebellshore.store.memory import (
+    MemoryFaults,
+    MemoryInstances,
+    MemoryObjects,
+    MemoryTable,
+    OperationCounts,
+)
+
+__all__ = [
+    "ABSENT",
+    "FeedingTable",
+    "HttpPlatform",
+    "Instance",
+    "InstanceList",
+    "InstanceRole",
+    "InstanceState",
+    "MemoryFaults",
+    "MemoryInstances",
+    "MemoryObjects",
+    "MemoryTable",
+    "ObjectStore",
+    "OperationCounts",
+    "Row",
+    "TableChange",
+    "TableService",
+    "TableSnapshot",
+    "Write",
+]
--- a/bluebellshore/platform/http.py
+++ b/bluebellshore/store/http.py
@@ -14,8 +14,8 @@
     PlatformUnavailableError,
     TransactionConflictError,
 )
-from bluebellshore.platform.interface import ABSENT, Instance, Row, Write
-from bluebellshore.platform.messages import (
+from bluebellshore.store.interface import ABSENT, Instance, Row, Write
+from bluebellshore.store.messages import (
     ConflictAnswer,
     InstancesAnswer,
     ReadRequest,
--- a/bluebellshore/platform/interface.py
+++ b/bluebellshore/store/interface.py
@@ -10,13 +10,16 @@
 
 __all__ = [
     "ABSENT",
+    "FeedingTable",
     "Instance",
     "InstanceList",
     "InstanceRole",
     "InstanceState",
     "ObjectStore",
     "Row",
+    "TableChange",
     "TableService",
+    "TableSnapshot",
     "Write",
 ]
 
@@ -27,7 +30,7 @@
 class Row(msgspec.Struct, frozen=True):
     """A row of the table service.
 
-    :param version: grows by one with each write of the row; first write gives 1.
+    :param version: grows with each write of the row, not by one.
     """
 
     key: str
@@ -47,6 +50,28 @@
     value: bytes | None
 
 
+class TableSnapshot(msgspec.Struct, frozen=True):
+    """A whole table.
+
+    :param version: version of the store at which the table was read.
+    """
+
+    rows_by_key: dict[str, Row]
+    version: int
+
+
+class TableChange(msgspec.Struct, frozen=True):
+    """What changed in a table; nothing when a wait for changes ended.
+
+    :param removed_by_key: version at which each row was removed.
+    :param version: where to go on.
+    """
+
+    rows: list[Row]
+    removed_by_key: dict[str, int]
+    version: int
+
+
 class InstanceRole(Enum):
     """Which program an instance runs."""
 
@@ -96,6 +121,24 @@
         """
 
 
+class FeedingTable(TableService, Protocol):
+    """Table service that tells of changes.
+
+    The table of a row is the part of its key before the first slash.
+    """
+
+    async def snapshot(self, table: str) -> TableSnapshot:
+        """Read a whole table, to be followed by :meth:`feed`."""
+
+    async def feed(
+        self, table: str, after_version: int, wait_seconds: float
+    ) -> TableChange:
+        """Wait for changes of a table.
+
+        :raises HistoryLostError: changes after that version are forgotten.
+        """
+
+
 class ObjectStore(Protocol):
     """Object store of the platform."""
 
--- a/bluebellshore/platform/memory.py
+++ b/bluebellshore/store/memory.py
@@ -16,14 +16,14 @@
     TransactionConflictError,
 )
 from bluebellshore.ids import InstanceId
-from bluebellshore.platform.interface import (
+from bluebellshore.store.interface import (
     ABSENT,
     Instance,
     InstanceState,
     Row,
     Write,
 )
-from bluebellshore.platform.lagged import LaggedValue
+from bluebellshore.store.lagged import LaggedValue
 
 __all__ = [
     "MemoryFaults",
@@ -114,7 +114,7 @@
 
 
 class MemoryTable:
-    """In-memory :class:`~bluebellshore.platform.TableService`."""
+    """In-memory :class:`~bluebellshore.store.TableService`."""
 
     def __init__(
         self,
@@ -202,7 +202,7 @@
 
 
 class MemoryObjects:
-    """In-memory :class:`~bluebellshore.platform.ObjectStore`."""
+    """In-memory :class:`~bluebellshore.store.ObjectStore`."""
 
     def __init__(
         self,
@@ -237,7 +237,7 @@
 
 
 class MemoryInstances:
-    """In-memory :class:`~bluebellshore.platform.InstanceList`, which lags.
+    """In-memory :class:`~bluebellshore.store.InstanceList`, which lags.
 
     :param lag_seconds: delay before a change shows.
     :param expiry_seconds: an entry not announced for this long disappears.
--- a/bluebellshore/platform/messages.py
+++ b/bluebellshore/store/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bluebellshore.platform.interface import Instance, Row, Write
+from bluebellshore.store.interface import Instance, Row, Write
 
 __all__ = [
     "ConflictAnswer",
--- a/tests/test_budget_accountant.py
+++ b/tests/test_budget_accountant.py
@@ -23,7 +23,7 @@
     RunState,
     TransactionConflictError,
 )
-from bluebellshore.platform.memory import MemoryTable
+from bluebellshore.store.memory import MemoryTable
 from bluebellshore.wire.link_pb2 import Receipt
 
 TIMES = AccountantTimes(settle=0.01, heartbeat=0.05, poll=0.01, close=0.2)
--- a/tests/test_bundle_store.py
+++ b/tests/test_bundle_store.py
@@ -15,8 +15,8 @@
     PlatformUnavailableError,
 )
 from bluebellshore.moves.controller import RESTORE_SECONDS
-from bluebellshore.platform.interface import Write
-from bluebellshore.platform.memory import MemoryObjects, MemoryTable
+from bluebellshore.store.interface import Write
+from bluebellshore.store.memory import MemoryObjects, MemoryTable
 from tests.test_bundle_keeper import PRIVATE, VERIFIER, make_bundle, snapshot
 
 NOW = 1_000_000.0
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -15,7 +15,7 @@
 from bluebellshore.bundle.model import Move, Version
 from bluebellshore.load.fleet import open_fleet
 from bluebellshore.moves.rows import MoveRow, MoveState, encode_row
-from bluebellshore.platform import HttpPlatform, Instance, InstanceRole, Write
+from bluebellshore.store import HttpPlatform, Instance, InstanceRole, Write
 from tests.test_bundle_keeper import make_bundle
 
 ROOT = pathlib.Path(__file__).parent.parent
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -21,8 +21,8 @@
     RunState,
     TransactionConflictError,
 )
-from bluebellshore.platform.interface import ABSENT, Write
-from bluebellshore.platform.memory import MemoryObjects, MemoryTable
+from bluebellshore.store.interface import ABSENT, Write
+from bluebellshore.store.memory import MemoryObjects, MemoryTable
 
 ANSWER = StoredAnswer(201, [Header("content-type", "text/plain")], b"one spool")
 LARGE = StoredAnswer(200, [], b"x" * 100_000)
--- a/tests/test_moves_board.py
+++ b/tests/test_moves_board.py
@@ -6,7 +6,7 @@
 from bluebellshore.ids import RequestKey
 from bluebellshore.moves import MoveBoard, MoveRow, MoveState, encode_row, move_key
 from bluebellshore.moves.judge import Opinion
-from bluebellshore.platform import Row
+from bluebellshore.store import Row
 from bluebellshore.wire import link_pb2
 
 KEYS = [RequestKey(f"a/{i}") for i in range(400)]
--- a/tests/test_moves_controller.py
+++ b/tests/test_moves_controller.py
@@ -10,7 +10,7 @@
 from bluebellshore.moves import MoveBoard, MoveController, MoveState, decode_row
 from bluebellshore.moves.board import Progress
 from bluebellshore.moves.controller import RESTORE_SECONDS, decide
-from bluebellshore.platform.memory import MemoryTable
+from bluebellshore.store.memory import MemoryTable
 from bluebellshore.wire import link_pb2
 from tests.test_moves_board import bundle, move, verdict
 
--- a/tests/test_router_guards.py
+++ b/tests/test_router_guards.py
@@ -10,9 +10,9 @@
 from bluebellshore.budget import FixedPolicy
 from bluebellshore.errors import RefusedError
 from bluebellshore.moves import MoveState, decode_row
-from bluebellshore.platform.memory import MemoryTable
 from bluebellshore.router.relay import DONE_EVENT, Relay
 from bluebellshore.router.streams import Ended, RouterStream
+from bluebellshore.store.memory import MemoryTable
 from bluebellshore.wire import link_pb2 as pb
 from tests.test_budget_accountant import PREPAID, AccountantCase
 from tests.test_moves_board import verdict
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -10,7 +10,10 @@
     PlatformUnavailableError,
     TransactionConflictError,
 )
-from bluebellshore.platform import (
+from bluebellshore.settings import PlatformSettings
+from bluebellshore.standin import PlatformStandin
+from bluebellshore.standin.platform import RateLimit
+from bluebellshore.store import (
     ABSENT,
     HttpPlatform,
     Instance,
@@ -18,9 +21,6 @@
     InstanceState,
     Write,
 )
-from bluebellshore.settings import PlatformSettings
-from bluebellshore.standin import PlatformStandin
-from bluebellshore.standin.platform import RateLimit
 
 INSTANCE = Instance("r/1", InstanceRole.ROUTER, "zone-a", "127.0.0.1:1")
 
--- a/tests/test_platform_http.py
+++ b/tests/test_store_http.py
@@ -15,7 +15,7 @@
     PlatformUnavailableError,
     TransactionConflictError,
 )
-from bluebellshore.platform import ABSENT, HttpPlatform, MemoryTable, Write
+from bluebellshore.store import ABSENT, HttpPlatform, MemoryTable, Write
 
 PEER = "http://platform"
 KEYS = ["a", "b", "p/1", "p/2"]
--- a/tests/test_platform_memory.py
+++ b/tests/test_store_memory.py
@@ -7,7 +7,7 @@
     PlatformUnavailableError,
     TransactionConflictError,
 )
-from bluebellshore.platform import (
+from bluebellshore.store import (
     ABSENT,
     Instance,
     InstanceRole,
