Serve callers of the users' platform: the whole path of a request, thin

Ruled out: one message a token through sidecars (costs machines, and backend servers without one exist).

--- a/Makefile
+++ b/Makefile
@@ -33,4 +33,4 @@
 	$(BIN)/shiv --site-packages build/site --compressed --compile-pyc -e bluebellshore.cli.main:main -p '/usr/bin/env python3' -o build/bluebellshore
 
 proto: venv
-	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. --pyi_out=. bluebellshore/wire/link.proto
+	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. --pyi_out=. bluebellshore/wire/link.proto bluebellshore/wire/peer.proto
--- a/bluebellshore/cli/main.py
+++ b/bluebellshore/cli/main.py
@@ -16,7 +16,12 @@
     MoveCommand,
     StateCommand,
 )
-from bluebellshore.cli.serving import RouterCommand, SidecarCommand, StandinCommand
+from bluebellshore.cli.serving import (
+    EntryCommand,
+    RouterCommand,
+    SidecarCommand,
+    StandinCommand,
+)
 from bluebellshore.cli.trials import (
     DemoCommand,
     ExperimentCommand,
@@ -58,7 +63,8 @@
     """Router fleet for prepaid token budgets."""
 
     subcommand: cappa.Subcommands[
-        RouterCommand
+        EntryCommand
+        | RouterCommand
         | SidecarCommand
         | StandinCommand
         | BundleCommand
--- a/bluebellshore/cli/serving.py
+++ b/bluebellshore/cli/serving.py
@@ -18,7 +18,7 @@
     SidecarSettings,
 )
 
-__all__ = ["RouterCommand", "SidecarCommand", "StandinCommand"]
+__all__ = ["EntryCommand", "RouterCommand", "SidecarCommand", "StandinCommand"]
 
 
 def _argument(item: dataclasses.Field) -> tuple[str, object, dataclasses.Field]:
@@ -90,6 +90,21 @@
 )
 
 
+@cappa.command(
+    name="entry", help="Serve callers of the users' platform on an entry instance."
+)
+@dataclasses.dataclass
+class EntryCommand:
+    """Serve callers of the users' platform on an entry instance.
+
+    The settings file is named by ``BLUEBELLSHORE_SETTINGS``.
+    """
+
+    def run(self) -> None:
+        """Serve until SIGTERM."""
+        run_role(_load_role("bluebellshore.entry.router:EntryRouter")())
+
+
 @cappa.command(name="standin", help="Run a stand-in for tests.")
 @dataclasses.dataclass
 class StandinCommand:
--- /dev/null
+++ b/bluebellshore/entry/dispatch.py
@@ -0,0 +1,411 @@
+"""Runs calls: reserves budget, places, sends, repeats, relays."""
+
+import asyncio
+import contextlib
+import hashlib
+from collections.abc import AsyncIterator, Callable
+from typing import Protocol
+
+import eliot
+import xxhash
+
+from bluebellshore.backend import (
+    Answer,
+    AttemptError,
+    Backend,
+    BackendRequest,
+    Outcome,
+)
+from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
+from bluebellshore.errors import OverloadError, RefusedError, RunState
+from bluebellshore.fleet import BackendServer, Call, RouteKind
+from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
+from bluebellshore.routing.load import LoadBook, Result, Ticket
+from bluebellshore.routing.placement import Place, Placer, Refuse
+from bluebellshore.routing.repeats import Next, next_step
+from bluebellshore.routing.retry_window import RetryWindow
+
+__all__ = ["Budgets", "Dispatcher", "fingerprint_of"]
+
+RETRY_AFTER_SECONDS = 0.5
+#: Longest wait for tokens of a prepaid budget, as a part of the objective.
+BUDGET_WAIT_SHARE = 0.5
+#: Part of the time left that a request which may be repeated gives its first try, and
+#: the multiple of its objective below which that is never cut.
+FIRST_TRY_SHARE = 0.45
+FIRST_TRY_OBJECTIVES = 1.6
+#: Poll of a waiting request: other routers' work ends unseen.
+WAIT_POLL_SECONDS = 0.03
+#: Part of the time limit for which a request may wait at the router.
+MAX_WAIT_SHARE = 0.5
+
+
+class Budgets(Protocol):
+    """Prepaid tokens of customers."""
+
+    async def reserve(
+        self,
+        customer: CustomerId,
+        attempt_id: str,
+        tokens: Tokens,
+        *,
+        wait_seconds: float,
+    ) -> None:
+        """Reserve the most that a request can cost.
+
+        :raises RefusedError: the tokens are not there.
+        """
+
+    def settle(self, attempt_id: str, tokens: Tokens) -> None:
+        """Charge what a request did cost."""
+
+    def release(self, attempt_id: str) -> None:
+        """Return the tokens of a request that did not run."""
+
+
+class Suspicion(Protocol):
+    """Tells which backend servers to leave out."""
+
+    def usable(self, servers: list[BackendServer], now: float) -> list[BackendServer]:
+        """Return those that may be sent requests."""
+
+    def record(
+        self, server_id: BackendServerId, result: Result, seconds: float, now: float
+    ) -> None:
+        """Note how an attempt ended and how long its first event took."""
+
+
+class _Progress:
+    """What became of a call so far."""
+
+    def __init__(self) -> None:
+        self.sends = 0
+        self.unreachable = 0
+        self.may_have_run = False
+        self.tried: set[BackendServerId] = set()
+        self.relay: StreamRelay | None = None
+
+    @property
+    def began(self) -> bool:
+        return self.relay is not None and self.relay.began
+
+
+class Dispatcher:
+    """Turns calls into attempts at backend servers.
+
+    :param headers: returns the headers with which a backend server gets a call, from
+        the call, the server, the seconds left and the last event id.
+    :param routers: returns the most routers that may be serving.
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: Knowledge,
+        book: LoadBook,
+        placer: Placer,
+        suspicion: Suspicion,
+        backend: Backend,
+        budgets: Budgets,
+        headers: Callable[[Call, BackendServer, float, str], list[tuple[str, str]]],
+        retry_window: Callable[[], RetryWindow],
+        routers: Callable[[], int],
+    ):
+        self._knowledge = knowledge
+        self._book = book
+        self._placer = placer
+        self._suspicion = suspicion
+        self._backend = backend
+        self._budgets = budgets
+        self._headers = headers
+        self._make_retry_window = retry_window
+        self._routers = routers
+        self._retries_by_service: dict[ServiceName, RetryWindow] = {}
+        self._freed = asyncio.Event()
+        self.active = 0
+
+    async def serve(self, call: Call, sink: Sink) -> None:
+        """Answer a call.
+
+        :raises RefusedError: there is no answer; nothing was written to `sink`, or
+            its answer broke off.
+        """
+        progress = _Progress()
+        self.active += 1
+        try:
+            async with asyncio.timeout_at(call.deadline), self._budget(call, progress):
+                await self._run(call, sink, progress)
+        except TimeoutError as error:
+            raise _timed_out(progress) from error
+        finally:
+            self.active -= 1
+
+    @contextlib.asynccontextmanager
+    async def _budget(self, call: Call, progress: _Progress) -> AsyncIterator[None]:
+        """Hold the most that a call can cost, then charge what it did cost."""
+        tokens = Tokens(call.most_tokens)
+        if call.customer is None or not tokens:
+            yield
+            return
+        wait = call.route.objective_seconds * BUDGET_WAIT_SHARE
+        await self._budgets.reserve(
+            call.customer, call.attempt_id, tokens, wait_seconds=wait
+        )
+        try:
+            yield
+        finally:
+            if progress.may_have_run:
+                spent = self._spent(call, progress)
+                self._budgets.settle(call.attempt_id, spent)
+            else:
+                self._budgets.release(call.attempt_id)
+
+    def _spent(self, call: Call, progress: _Progress) -> Tokens:
+        if progress.relay is None:
+            return Tokens(call.most_tokens)
+        output = progress.relay.events * self._tokens_per_event(call)
+        if not progress.relay.whole:
+            # The event on its way when the stream broke off may have counted.
+            output += self._tokens_per_event(call)
+        return Tokens(call.prompt_tokens + min(call.max_output_tokens, output))
+
+    def _tokens_per_event(self, call: Call) -> int:
+        configuration = self._knowledge.configuration
+        most = 1
+        for part in call.route.services:
+            service = configuration.services_by_name.get(part.service)
+            if service is not None and service.engine is not None:
+                most = max(most, service.engine.tokens_per_event)
+        return most
+
+    async def _run(self, call: Call, sink: Sink, progress: _Progress) -> None:
+        service = _service_of(call)
+        retries = self._retries_by_service.setdefault(
+            service, self._make_retry_window()
+        )
+        now = asyncio.get_running_loop().time
+        retries.count_request(now())
+        if call.route.kind is RouteKind.STREAM:
+            progress.relay = StreamRelay(call, sink)
+        while True:
+            place = await self._place(call, service, progress)
+            try:
+                await self._attempt(call, place, sink, progress)
+                return
+            except AttemptError as error:
+                self._note(call, error, progress)
+                step = next_step(
+                    call,
+                    error.outcome,
+                    sends=progress.sends,
+                    unreachable=progress.unreachable,
+                    began=progress.began,
+                    now=now(),
+                )
+                progress.tried.add(place.server.server_id)
+                if step is Next.REPEAT and not retries.allow(now(), self._routers()):
+                    step = Next.GIVE_UP
+                eliot.log_message(
+                    "attempt_failed",
+                    request=call.attempt_id,
+                    server=place.server.server_id,
+                    outcome=error.outcome.value,
+                    reason=error.message,
+                    next=step.value,
+                    sends=progress.sends,
+                )
+                if step is Next.GIVE_UP:
+                    raise _given_up(error, progress) from error
+
+    def _note(self, call: Call, error: AttemptError, progress: _Progress) -> None:
+        if error.outcome is Outcome.NOT_SENT:
+            progress.unreachable += 1
+            return
+        progress.sends += 1
+        if error.outcome is Outcome.UNKNOWN:
+            progress.may_have_run = True
+
+    async def _place(
+        self, call: Call, service: ServiceName, progress: _Progress
+    ) -> Place:
+        """Wait until a backend server has room.
+
+        :raises OverloadError: none will have in time.
+        """
+        loop = asyncio.get_running_loop()
+        limit = call.received_at + MAX_WAIT_SHARE * (call.deadline - call.received_at)
+        while True:
+            now = loop.time()
+            servers = self._knowledge.servers_of(service, now)
+            usable = self._suspicion.usable(servers, now)
+            decision = self._placer.place(call, usable, now, progress.tried)
+            if isinstance(decision, Refuse) and progress.tried:
+                decision = self._placer.place(call, usable, now)
+            if isinstance(decision, Place):
+                return decision
+            if isinstance(decision, Refuse) or now >= limit:
+                retry_after = getattr(
+                    decision, "retry_after_seconds", RETRY_AFTER_SECONDS
+                )
+                raise _overload(decision.reason, progress, retry_after)
+            self._freed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WAIT_POLL_SECONDS):
+                    await self._freed.wait()
+
+    async def _attempt(
+        self, call: Call, place: Place, sink: Sink, progress: _Progress
+    ) -> None:
+        """Send a call once and relay its answer.
+
+        :raises AttemptError: there is no whole answer.
+        """
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        server = place.server
+        ticket = self._book.begin(call, server, began_at)
+        result, first_seconds = Result.LEFT, 0.0
+        try:
+            request = self._request(call, server, progress, began_at)
+            async with self._backend.send(server, request) as answer:
+                await self._relay(call, answer, sink, progress, ticket)
+            progress.sends += 1
+            progress.may_have_run = True
+            result = Result.FAILED if answer.status >= 500 else Result.ANSWERED
+        except AttemptError as error:
+            result = _result_of(error)
+            raise
+        finally:
+            now = loop.time()
+            with contextlib.suppress(KeyError):
+                first_seconds = self._book.first_event(ticket, now)
+            self._book.end(ticket, result, now)
+            self._suspicion.record(server.server_id, result, first_seconds, now)
+            if result is Result.LEFT:
+                progress.may_have_run = True
+            self._freed.set()
+
+    def _request(
+        self, call: Call, server: BackendServer, progress: _Progress, now: float
+    ) -> BackendRequest:
+        left = call.deadline - now
+        last_event_id = call.last_event_id
+        if progress.relay is not None and progress.relay.last_event_id:
+            last_event_id = progress.relay.last_event_id
+        return BackendRequest(
+            method=call.method,
+            target=call.target,
+            host=call.route.host,
+            headers=self._headers(call, server, left, last_event_id),
+            body=call.body,
+            attempt_id=call.attempt_id,
+            head_seconds=self._first_seconds(call, left, progress),
+        )
+
+    def _first_seconds(self, call: Call, left: float, progress: _Progress) -> float:
+        """Return how long the start of an answer is waited for."""
+        again = call.route.repeatable or call.route.resumable
+        if not again or progress.sends + 1 >= call.route.max_attempts:
+            return left
+        least = FIRST_TRY_OBJECTIVES * call.route.objective_seconds
+        return min(left, max(least, FIRST_TRY_SHARE * left))
+
+    async def _relay(
+        self,
+        call: Call,
+        answer: Answer,
+        sink: Sink,
+        progress: _Progress,
+        ticket: Ticket,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+
+        def first_event() -> None:
+            self._book.first_event(ticket, loop.time())
+            self._freed.set()
+
+        relay = progress.relay
+        if relay is not None and 200 <= answer.status < 300:
+            limit = self._first_seconds(call, call.deadline - loop.time(), progress)
+            await relay.run(answer, first_event, limit)
+            return
+        if progress.began:
+            raise AttemptError(
+                f"status {answer.status} in place of the rest of a stream",
+                step="dispatch.relay",
+                peer="",
+                outcome=Outcome.UNKNOWN,
+            )
+        again = call.route.repeatable and progress.sends + 1 < call.route.max_attempts
+        await relay_plain(answer, sink, repeat_failures=again)
+
+
+def fingerprint_of(call: Call) -> str:
+    """Return what tells a request that comes again from others."""
+    digest = hashlib.blake2b(call.body, digest_size=8)
+    digest.update(f"{call.customer}\0{call.method}\0{call.target}".encode())
+    return digest.hexdigest()
+
+
+def _service_of(call: Call) -> ServiceName:
+    """Pick the service by the route's weights; the same for each try of an attempt."""
+    services = call.route.services
+    if len(services) == 1:
+        return services[0].service
+    total = sum(part.weight for part in services)
+    point = xxhash.xxh32_intdigest(call.attempt_id.encode()) / 2**32 * total
+    for part in services:
+        point -= part.weight
+        if point < 0:
+            return part.service
+    return services[-1].service
+
+
+def _result_of(error: AttemptError) -> Result:
+    if error.outcome is Outcome.NOT_SENT:
+        return Result.UNREACHABLE
+    if error.outcome is Outcome.NOT_RUN:
+        return Result.REFUSED
+    if error.timed_out:
+        return Result.TIMED_OUT
+    if error.status >= 500:
+        return Result.FAILED
+    return Result.BROKEN
+
+
+def _overload(reason: str, progress: _Progress, retry_after: float) -> RefusedError:
+    if progress.may_have_run:
+        return RefusedError(
+            reason, step="dispatch.place", status=502, run=RunState.UNKNOWN
+        )
+    return OverloadError(reason, step="dispatch.place", retry_after=retry_after)
+
+
+def _given_up(error: AttemptError, progress: _Progress) -> RefusedError:
+    if not progress.may_have_run:
+        return OverloadError(
+            error.message,
+            step=error.step,
+            peer=error.peer,
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+    return RefusedError(
+        error.message,
+        step=error.step,
+        peer=error.peer,
+        status=504 if error.timed_out else 502,
+        run=RunState.UNKNOWN,
+    )
+
+
+def _timed_out(progress: _Progress) -> RefusedError:
+    # Work that is cut here may have run, whatever was known before.
+    sent = progress.may_have_run
+    return RefusedError(
+        "the time limit passed",
+        step="dispatch",
+        status=504 if sent else 503,
+        run=RunState.UNKNOWN if sent else RunState.NOT_RUN,
+        retry_after=None if sent else RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/bluebellshore/entry/ingress.py
@@ -0,0 +1,223 @@
+"""Callers' port: reads requests, has them served, writes answers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+import eliot
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+
+from bluebellshore.entry.intake import admit
+from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.relay import Sink
+from bluebellshore.errors import OverloadError, RefusedError, RequestError
+from bluebellshore.fleet import Call
+from bluebellshore.platform.requests import CONNECTION_HEADERS, RequestHead
+
+__all__ = ["Ingress"]
+
+#: Idle time after which a connection is closed. Above any that the operators set for
+#: callers, so that a caller never sends on a connection that is being closed.
+IDLE_SECONDS = 120.0
+#: Connections that the system keeps until they are accepted.
+BACKLOG = 1024
+#: Bounds on one line of a head; the configuration bounds the whole head.
+MAX_LINE_BYTES = 64 * 1024
+#: Part of the process's memory that bodies of requests may take.
+BODIES_MEMORY_SHARE = 0.25
+MIN_BODIES_BYTES = 16 * 1024 * 1024
+DEFAULT_DEADLINE_SECONDS = 60.0
+
+
+class Ingress:
+    """Serves callers on one port.
+
+    :param serve: answers a call.
+    :param memory_bytes: memory that the process may take; 0 when unknown.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        serve: Callable[[Call, Sink], Awaitable[None]],
+        *,
+        memory_bytes: int,
+    ):
+        self._knowledge = knowledge
+        self._serve = serve
+        self._body_bytes = 0
+        share = int(memory_bytes * BODIES_MEMORY_SHARE)
+        self._max_body_bytes = max(MIN_BODIES_BYTES, share)
+        self._server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+        #: Whether connections are to be closed after their present request.
+        self.leaving = False
+        self.active = 0
+
+    async def start(self, listen: str) -> str:
+        """Open the port. :return: ``host:port``."""
+        self._server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_SECONDS,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            auto_decompress=False,
+            access_log=None,
+            lingering_time=0,
+        )
+        host, _, port = listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, host, int(port), backlog=BACKLOG, reuse_address=True
+        )
+        name = self._listener.sockets[0].getsockname()
+        return f"{name[0]}:{name[1]}"
+
+    async def close_port(self) -> None:
+        """Accept no more connections; those that stand go on."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def stop(self, seconds: float) -> None:
+        """Close the connections that stand, after `seconds` at most."""
+        if self._server is not None:
+            await self._server.shutdown(seconds)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.active += 1
+        sink = _HttpSink(request, close=lambda: self.leaving)
+        try:
+            return await self._answer(request, sink)
+        finally:
+            self.active -= 1
+
+    async def _answer(
+        self, request: web.BaseRequest, sink: "_HttpSink"
+    ) -> web.StreamResponse:
+        try:
+            await self._forward(request, sink)
+        except RequestError as error:
+            return self._refuse(sink, HTTPStatus.BAD_REQUEST, error.message)
+        except RefusedError as error:
+            if sink.response is not None:
+                eliot.log_message("answer_broken_off", reason=str(error))
+                return sink.abort()
+            return self._refuse(
+                sink, error.status, error.message, retry_after=error.retry_after
+            )
+        return sink.response
+
+    async def _forward(self, request: web.BaseRequest, sink: "_HttpSink") -> None:
+        received_at = asyncio.get_running_loop().time()
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            raise OverloadError(
+                "no configuration is known yet", step="ingress", retry_after=0.5
+            )
+        head = RequestHead.decode(request.headers.items())
+        call = admit(
+            configuration,
+            head,
+            method=request.method,
+            target=request.raw_path,
+            host=request.headers.get("Host", ""),
+            received_at=received_at,
+            default_seconds=DEFAULT_DEADLINE_SECONDS,
+        )
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0
+        body = await self._read_body(request, configuration.limits.body_bytes)
+        try:
+            call.body = body
+            await self._serve(call, sink)
+        finally:
+            self._body_bytes -= len(body)
+
+    async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
+        """Read the body; its bytes count as held until the request ends.
+
+        :raises RefusedError: it is too large, or the process holds too much.
+        """
+        body = bytearray()
+        try:
+            async for data in request.content.iter_any():
+                body += data
+                self._body_bytes += len(data)
+                if len(body) > limit:
+                    raise RefusedError(
+                        f"body above {limit} bytes",
+                        step="ingress.body",
+                        status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    )
+                if self._body_bytes > self._max_body_bytes:
+                    raise OverloadError(
+                        "too many bytes held", step="ingress.body", retry_after=1.0
+                    )
+        except BaseException:
+            self._body_bytes -= len(body)
+            raise
+        return bytes(body)
+
+    def _refuse(
+        self,
+        sink: "_HttpSink",
+        status: int,
+        reason: str,
+        retry_after: float | None = None,
+    ) -> web.StreamResponse:
+        headers = {}
+        if retry_after is not None:
+            headers["Retry-After"] = f"{retry_after:.2f}"
+        response = web.Response(status=status, text=reason + "\n", headers=headers)
+        if self.leaving:
+            response.force_close()
+        eliot.log_message(
+            "refused", status=int(status), reason=reason, retry_after=retry_after
+        )
+        return response
+
+
+class _HttpSink:
+    """Writes one answer to a caller.
+
+    :ivar response: None until the head was written.
+    """
+
+    def __init__(self, request: web.BaseRequest, close: Callable[[], bool]):
+        self._request = request
+        self._close = close
+        self._writer: AbstractStreamWriter | None = None
+        self.response: web.StreamResponse | None = None
+
+    async def start(
+        self, status: int, headers: list[tuple[str, str]], length: int | None
+    ) -> None:
+        """Write the head. :param length: of the body, None when it is not known."""
+        response = web.StreamResponse(status=status)
+        for name, value in headers:
+            if name.lower() not in CONNECTION_HEADERS:
+                response.headers.add(name, value)
+        if length is not None:
+            response.content_length = length
+        if self._close():
+            response.force_close()
+        self.response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Write a part of the body."""
+        if data:
+            await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End the body as whole."""
+        await self.response.write_eof()
+
+    def abort(self) -> web.StreamResponse:
+        """Break the answer off, so that it does not look whole."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+        return self.response
--- /dev/null
+++ b/bluebellshore/entry/intake.py
@@ -0,0 +1,83 @@
+"""Turns the head of a request into a call, or says why it is not served."""
+
+import ipaddress
+
+from bluebellshore.errors import RefusedError, RequestError
+from bluebellshore.fleet import Call, Configuration, Customer, Route
+from bluebellshore.platform.requests import RequestHead
+
+__all__ = ["admit"]
+
+STEP = "intake"
+
+
+def admit(
+    configuration: Configuration,
+    head: RequestHead,
+    *,
+    method: str,
+    target: str,
+    host: str,
+    received_at: float,
+    default_seconds: float,
+) -> Call:
+    """Return the call that a request makes under the configuration in force.
+
+    :param target: path and query as they were sent.
+    :param received_at: monotonic seconds.
+    :param default_seconds: deadline of callers who give none.
+    :raises RefusedError: there is no such route, or no such customer.
+    :raises RequestError: the request is malformed.
+    """
+    if not target.startswith("/"):
+        raise RequestError(f"unsupported target {target[:80]!r}", step=STEP)
+    route = configuration.route_of(_host_name(host), target.partition("?")[0])
+    if route is None:
+        raise RefusedError("no such route", step=STEP, status=404)
+    customer = _customer_of(configuration, route, head.keys)
+    priority = route.priority
+    if customer is not None and customer.priority is not None:
+        priority = customer.priority
+    seconds = head.deadline_seconds
+    if seconds is None:
+        seconds = default_seconds
+    return Call(
+        attempt_id=head.attempt_id,
+        method=method,
+        target=target,
+        headers=head.forwarded,
+        body=b"",
+        route=route,
+        customer=None if customer is None else customer.customer_id,
+        priority=priority,
+        received_at=received_at,
+        deadline=received_at + min(seconds, route.timeout_seconds),
+        model=head.model,
+        prompt=head.prompt,
+        prompt_tokens=head.prompt_tokens,
+        max_output_tokens=head.max_output_tokens,
+        last_event_id=head.last_event_id,
+    )
+
+
+def _customer_of(
+    configuration: Configuration, route: Route, keys: list[str]
+) -> Customer | None:
+    if route.anonymous or not configuration.has_customers:
+        return None
+    customer = configuration.customer_of(keys[0]) if len(keys) == 1 else None
+    if customer is None:
+        raise RefusedError("unknown key", step=STEP, status=401)
+    return customer
+
+
+def _host_name(host: str) -> str:
+    """Return the host without its port."""
+    name, colon, port = host.rpartition(":")
+    if not colon or not port.isdigit():
+        return host
+    try:
+        ipaddress.IPv6Address(host)
+    except ValueError:
+        return name
+    return host
--- /dev/null
+++ b/bluebellshore/entry/members.py
@@ -0,0 +1,90 @@
+"""Routers find each other by rows in the platform's store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import eliot
+import msgspec
+
+from bluebellshore.errors import PlatformError
+from bluebellshore.ids import IncarnationId, InstanceId
+from bluebellshore.store import ABSENT, FeedingTable, Row, Write
+
+__all__ = ["Members"]
+
+TABLE = "routers"
+#: Pause between looks at the list; exchanges tell of new routers sooner.
+LOOK_SECONDS = 5.0
+
+
+class _Member(msgspec.Struct):
+    address: str
+    incarnation: IncarnationId
+
+
+class Members:
+    """Keeps this router's row, and meets those whose rows it finds.
+
+    :param meet: takes the addresses of other routers.
+    """
+
+    def __init__(
+        self,
+        table: FeedingTable,
+        instance_id: InstanceId,
+        incarnation: IncarnationId,
+        address: str,
+        meet: Callable[[list[str]], None],
+    ):
+        self._table = table
+        self._key = f"{TABLE}/{instance_id}"
+        self._own = _Member(address, incarnation)
+        self._meet = meet
+        self._listed = 0
+
+    @property
+    def listed(self) -> int:
+        """Routers in the list as last seen."""
+        return self._listed
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            try:
+                await self._look()
+            except PlatformError as error:
+                eliot.log_message("members_unknown", reason=str(error))
+            await asyncio.sleep(LOOK_SECONDS * random.uniform(0.8, 1.2))
+
+    async def leave(self) -> None:
+        """Remove the own row."""
+        try:
+            rows = (await self._table.snapshot(TABLE)).rows_by_key
+            row = rows.get(self._key)
+            if row is not None and self._is_own(row):
+                await self._table.transact([Write(self._key, row.version, None)])
+        except PlatformError as error:
+            eliot.log_message("member_row_left", reason=str(error))
+
+    async def _look(self) -> None:
+        rows = (await self._table.snapshot(TABLE)).rows_by_key
+        own = rows.get(self._key)
+        if own is None or not self._is_own(own):
+            version = ABSENT if own is None else own.version
+            value = msgspec.json.encode(self._own)
+            await self._table.transact([Write(self._key, version, value)])
+        members = [self._decode(row) for row in rows.values()]
+        self._listed = len({*rows, self._key})
+        self._meet([member.address for member in members if member is not None])
+
+    def _is_own(self, row: Row) -> bool:
+        return self._decode(row) == self._own
+
+    @staticmethod
+    def _decode(row: Row) -> _Member | None:
+        try:
+            return msgspec.json.decode(row.value, type=_Member)
+        except msgspec.MsgspecError as error:
+            eliot.log_message("row_ignored", key=row.key, reason=str(error))
+            return None
--- /dev/null
+++ b/bluebellshore/entry/peers.py
@@ -0,0 +1,261 @@
+"""Exchanges work in hand, prompt parts and rows between entry routers."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import eliot
+import grpc
+import msgspec
+
+from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.ids import BackendServerId, IncarnationId, InstanceId, PartId
+from bluebellshore.routing.load import LoadBook, LoadReport, PartSeen, ServerLoad
+from bluebellshore.store import Row, TableChange
+from bluebellshore.wire import peer_pb2 as pb
+from bluebellshore.wire import peer_pb2_grpc
+
+__all__ = ["Peer", "Peers"]
+
+#: Pause between exchanges: work in hand is known to others this late.
+EXCHANGE_SECONDS = 0.2
+#: An exchange is skipped this long at most when there is nothing to tell.
+QUIET_SECONDS = 0.6
+#: Longest wait for a peer's answer.
+CALL_SECONDS = 0.6
+#: Peers that one router tells in a round; more take turns.
+PEERS_A_ROUND = 6
+#: A peer that gave no sign for this long is not counted as serving.
+ALIVE_SECONDS = 2.0
+#: Failed calls after which a peer's connection is made anew, as it may be silent.
+FAILURES_TO_RECONNECT = 2
+#: Longest pause between calls to a peer that does not answer.
+MAX_BACKOFF_SECONDS = 2.0
+
+CHANNEL_OPTIONS = (
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_retries", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+    ("grpc.max_send_message_length", 16 * 1024 * 1024),
+)
+
+
+class Peer(msgspec.Struct):
+    """Another router, by the address of its exchange.
+
+    :param seen_at: monotonic seconds of its last sign.
+    """
+
+    address: str
+    incarnation: IncarnationId = IncarnationId("")
+    instance_id: InstanceId = InstanceId("")
+    seen_at: float = -1e9
+    failures: int = 0
+    next_at: float = 0.0
+    leaving: bool = False
+
+
+class Peers(peer_pb2_grpc.PeersServicer):
+    """This router's exchange with others.
+
+    :param address: where this router takes exchanges; empty for none.
+    :param store_lost: whether rows are wanted from peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        seeds: tuple[str, ...],
+        instance_id: InstanceId,
+        incarnation: IncarnationId,
+        knowledge: Knowledge,
+        book: LoadBook,
+        store_lost: Callable[[], bool],
+    ):
+        self._address = address
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._knowledge = knowledge
+        self._book = book
+        self._store_lost = store_lost
+        self._server: grpc.aio.Server | None = None
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self.peers_by_address: dict[str, Peer] = {}
+        self.leaving = False
+        self.meet(seeds)
+
+    def meet(self, addresses: list[str] | tuple[str, ...]) -> None:
+        """Add routers that may exist."""
+        for address in addresses:
+            if address and address != self._address:
+                self.peers_by_address.setdefault(address, Peer(address))
+
+    def alive(self) -> list[Peer]:
+        """Return the peers that gave a sign lately."""
+        now = time.monotonic()
+        peers = self.peers_by_address.values()
+        return [peer for peer in peers if now - peer.seen_at < ALIVE_SECONDS]
+
+    async def start(self) -> None:
+        """Take exchanges of others."""
+        if not self._address:
+            return
+        self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
+        peer_pb2_grpc.add_PeersServicer_to_server(self, self._server)
+        self._server.add_insecure_port(self._address)
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """End all exchanges."""
+        for channel in self._channels.values():
+            await channel.close()
+        if self._server is not None:
+            await self._server.stop(0)
+
+    async def run(self) -> None:
+        """Tell others until cancelled."""
+        quiet_since = 0.0
+        while True:
+            await asyncio.sleep(EXCHANGE_SECONDS * random.uniform(0.8, 1.2))
+            now = time.monotonic()
+            report = self._book.report()
+            busy = report.loads_by_server or report.parts or self._store_lost()
+            if not busy and now - quiet_since < QUIET_SECONDS:
+                continue
+            quiet_since = now
+            state = self._state(report)
+            calls = [self._tell(peer, state) for peer in self._round(now)]
+            if calls:
+                await asyncio.gather(*calls)
+
+    async def Exchange(  # noqa: N802 (name of the generated interface)
+        self, request: pb.PeerState, context: grpc.aio.ServicerContext
+    ) -> pb.PeerReply:
+        """Take what a peer tells, and answer with what it lacks."""
+        self.meet([request.address, *request.peers])
+        peer = self.peers_by_address.get(request.address)
+        if peer is not None:
+            self._seen(peer, request.incarnation)
+            peer.instance_id = InstanceId(request.instance_id)
+            peer.leaving = request.leaving
+        report = _report_of(request)
+        now = time.monotonic()
+        self._book.merge(IncarnationId(request.incarnation), report, now)
+        reply = pb.PeerReply(incarnation=self._incarnation)
+        reply.peers.extend(other.address for other in self.alive())
+        if request.store_lost:
+            versions = {item.table: item.version for item in request.versions}
+            for table, change in self._knowledge.newer_than(versions).items():
+                reply.tables.append(_table_rows(table, change))
+        return reply
+
+    def _round(self, now: float) -> list[Peer]:
+        due = [peer for peer in self.peers_by_address.values() if peer.next_at <= now]
+        if len(due) > PEERS_A_ROUND:
+            due = random.sample(due, PEERS_A_ROUND)
+        return due
+
+    def _state(self, report: LoadReport) -> pb.PeerState:
+        state = pb.PeerState(
+            instance_id=self._instance_id,
+            incarnation=self._incarnation,
+            address=self._address,
+            store_lost=self._store_lost(),
+            leaving=self.leaving,
+        )
+        for table, version in self._knowledge.versions().items():
+            state.versions.add(table=table, version=version)
+        for server_id, load in report.loads_by_server.items():
+            state.loads.add(
+                server=server_id,
+                running=load.running,
+                prefill_tokens=max(0, load.prefill_tokens),
+                held_tokens=load.held_tokens,
+            )
+        parts_by_server: dict[BackendServerId, list[PartId]] = {}
+        for seen in report.parts:
+            parts_by_server.setdefault(seen.server_id, []).append(seen.part_id)
+        for server_id, parts in parts_by_server.items():
+            state.parts.add(server=server_id, parts=parts)
+        state.peers.extend(peer.address for peer in self.alive())
+        return state
+
+    async def _tell(self, peer: Peer, state: pb.PeerState) -> None:
+        stub = peer_pb2_grpc.PeersStub(self._channel(peer.address))
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                reply = await stub.Exchange(state, timeout=CALL_SECONDS)
+        except (grpc.aio.AioRpcError, TimeoutError) as error:
+            await self._failed(peer, error)
+            return
+        peer.failures = 0
+        self._seen(peer, reply.incarnation)
+        self.meet(list(reply.peers))
+        now = time.monotonic()
+        for table in reply.tables:
+            self._knowledge.apply(table.table, _change_of(table), now)
+
+    def _seen(self, peer: Peer, incarnation: str) -> None:
+        now = time.monotonic()
+        if now - peer.seen_at > ALIVE_SECONDS:
+            eliot.log_message("peer_regained", peer=peer.address)
+        peer.seen_at = now
+        peer.incarnation = IncarnationId(incarnation)
+
+    async def _failed(self, peer: Peer, error: Exception) -> None:
+        peer.failures += 1
+        backoff = min(MAX_BACKOFF_SECONDS, EXCHANGE_SECONDS * 2**peer.failures)
+        peer.next_at = time.monotonic() + backoff * random.uniform(0.5, 1.0)
+        if peer.failures == FAILURES_TO_RECONNECT:
+            eliot.log_message(
+                "peer_lost", peer=peer.address, reason=type(error).__name__
+            )
+        if peer.failures % FAILURES_TO_RECONNECT == 0:
+            channel = self._channels.pop(peer.address, None)
+            if channel is not None:
+                await channel.close()
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        if address not in self._channels:
+            self._channels[address] = grpc.aio.insecure_channel(
+                address, options=CHANNEL_OPTIONS
+            )
+        return self._channels[address]
+
+
+def _report_of(state: pb.PeerState) -> LoadReport:
+    return LoadReport(
+        loads_by_server={
+            BackendServerId(load.server): ServerLoad(
+                load.running, load.prefill_tokens, load.held_tokens
+            )
+            for load in state.loads
+        },
+        parts=[
+            PartSeen(BackendServerId(seen.server), PartId(part))
+            for seen in state.parts
+            for part in seen.parts
+        ],
+    )
+
+
+def _table_rows(table: str, change: TableChange) -> pb.TableRows:
+    rows = pb.TableRows(table=table, version=change.version)
+    for row in change.rows:
+        rows.rows.add(key=row.key, version=row.version, value=row.value)
+    for key, version in change.removed_by_key.items():
+        rows.removed.add(key=key, version=version)
+    return rows
+
+
+def _change_of(rows: pb.TableRows) -> TableChange:
+    return TableChange(
+        rows=[Row(row.key, row.version, row.value) for row in rows.rows],
+        removed_by_key={row.key: row.version for row in rows.removed},
+        version=rows.version,
+    )
--- a/bluebellshore/platform/requests.py
+++ b/bluebellshore/platform/requests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bluebellshore.backend import AnswerHeaders
 from bluebellshore.errors import RequestError
 from bluebellshore.fleet import BackendServer, Call, PromptPart
 from bluebellshore.ids import PartId
@@ -23,7 +24,7 @@
     TOKENS_HEADER,
 )
 
-__all__ = ["ANSWER_HEADERS", "AnswerHeaders", "RequestHead", "backend_headers"]
+__all__ = ["ANSWER_HEADERS", "RequestHead", "backend_headers"]
 
 STEP = "request.decode"
 #: Headers, in lower case, that concern one connection only.
@@ -46,19 +47,6 @@
 LEAST_URGENT = 9
 
 
-class AnswerHeaders(msgspec.Struct, frozen=True):
-    """Names of the headers by which answers are told apart.
-
-    :param attempt: carries the id of the attempt that is answered.
-    :param not_run: present where the request was not run.
-    :param signature: present on a backend server's own answer.
-    """
-
-    attempt: str
-    not_run: str
-    signature: str
-
-
 ANSWER_HEADERS = AnswerHeaders(ATTEMPT_HEADER, NOT_RUN_HEADER, SIGNATURE_HEADER)
 
 
--- /dev/null
+++ b/bluebellshore/routing/repeats.py
@@ -0,0 +1,60 @@
+"""Whether a request may be sent once more after an attempt without a whole answer.
+
+Answers the load pattern in which backend servers lose, spoil or refuse part of their
+answers: what can't have run goes elsewhere, what may run again does so within the
+fleet's budget of repeats, and nothing else is sent twice.
+"""
+
+from enum import Enum
+
+from bluebellshore.backend import Outcome
+from bluebellshore.fleet import Call
+
+__all__ = ["Next", "next_step"]
+
+#: Connections that may fail one after another before a request is refused.
+MAX_UNREACHABLE = 4
+#: Least time that must be left for another attempt, in seconds.
+MIN_LEFT_SECONDS = 0.05
+
+
+class Next(Enum):
+    """What follows an attempt."""
+
+    #: Try another backend server; nothing was sent.
+    ELSEWHERE = "elsewhere"
+    #: Send the request once more, if the budget of repeats allows it.
+    REPEAT = "repeat"
+    #: Give the request up.
+    GIVE_UP = "give-up"
+
+
+def next_step(
+    call: Call,
+    outcome: Outcome,
+    *,
+    sends: int,
+    unreachable: int,
+    began: bool,
+    now: float,
+) -> Next:
+    """Decide what follows an attempt that gave no whole answer.
+
+    :param sends: backend servers that the request was sent to.
+    :param unreachable: backend servers that could not be reached.
+    :param began: whether the caller has seen a part of the answer.
+    :param now: monotonic seconds.
+    """
+    if call.deadline - now < MIN_LEFT_SECONDS:
+        return Next.GIVE_UP
+    if outcome is Outcome.NOT_SENT:
+        return Next.ELSEWHERE if unreachable < MAX_UNREACHABLE else Next.GIVE_UP
+    if sends >= call.route.max_attempts:
+        return Next.GIVE_UP
+    if outcome is Outcome.NOT_RUN and not began:
+        return Next.REPEAT
+    if call.route.resumable:
+        return Next.REPEAT
+    if call.route.repeatable and not began:
+        return Next.REPEAT
+    return Next.GIVE_UP
--- a/bluebellshore/runtime.py
+++ b/bluebellshore/runtime.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from typing import Protocol
 
 import aiomisc
@@ -46,17 +47,22 @@
         """Leave stopping to :func:`run_role`, which sets no time limit."""
 
 
-async def wait_for_signal() -> None:
-    """Wait until SIGTERM or SIGINT asks this process to stop."""
+async def wait_for_signal(reload: Callable[[], None] | None = None) -> None:
+    """Wait until SIGTERM or SIGINT asks this process to stop.
+
+    :param reload: called at each SIGHUP.
+    """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await stopped.wait()
 
 
 async def _serve(role: Role) -> None:
-    await wait_for_signal()
+    await wait_for_signal(getattr(role, "reload", None))
     eliot.log_message("stopping", role=type(role).__name__)
     await role.stop()
     eliot.log_message("stopped", role=type(role).__name__)
