--- a/bluebellshore/backend/__init__.py
+++ b/bluebellshore/backend/__init__.py
@@ -2,10 +2,18 @@
 
 from bluebellshore.backend.answer import (
     Answer,
+    AnswerHeaders,
     AttemptError,
     Backend,
     BackendRequest,
     Outcome,
 )
 
-__all__ = ["Answer", "AttemptError", "Backend", "BackendRequest", "Outcome"]
+__all__ = [
+    "Answer",
+    "AnswerHeaders",
+    "AttemptError",
+    "Backend",
+    "BackendRequest",
+    "Outcome",
+]
--- a/bluebellshore/backend/answer.py
+++ b/bluebellshore/backend/answer.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "Answer",
+    "AnswerHeaders",
     "AttemptError",
     "Backend",
     "BackendRequest",
@@ -57,6 +58,19 @@
         self.timed_out = timed_out
 
 
+class AnswerHeaders(msgspec.Struct, frozen=True):
+    """Names of the headers by which answers are told apart.
+
+    :param attempt: carries the id of the attempt that is answered.
+    :param not_run: present where the request was not run.
+    :param signature: present on a backend server's own answer.
+    """
+
+    attempt: str
+    not_run: str
+    signature: str
+
+
 class BackendRequest(msgspec.Struct, frozen=True):
     """A request as it is sent to a backend server.
 
--- /dev/null
+++ b/tests/scripted_server.py
@@ -0,0 +1,135 @@
+"""A TCP server on loopback that does what a test's script says."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+from bluebellshore.fleet import BackendServer
+from bluebellshore.ids import BackendServerId, ServiceName
+
+__all__ = ["Peer", "ScriptedServer", "answer", "scripted_server"]
+
+ATTEMPT = "X-Try"
+NOT_RUN = "X-Untouched"
+SIGNATURE = "X-Sealed"
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def answer(
+    attempt_id: str | None,
+    body: bytes = b"",
+    *,
+    status: int = 200,
+    headers: tuple[str, ...] = (),
+    signed: bool = True,
+    length: int | None = -1,
+) -> bytes:
+    """Return the bytes of an answer.
+
+    :param length: what it announces; -1 for the truth, None for nothing.
+    """
+    lines = [f"HTTP/1.1 {status} Some", *headers]
+    if attempt_id is not None:
+        lines.append(f"{ATTEMPT}: {attempt_id}")
+    if signed:
+        lines.append(f"{SIGNATURE}: s")
+    if length is not None:
+        lines.append(f"Content-Length: {len(body) if length < 0 else length}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class Peer:
+    """The server's end of one connection.
+
+    :ivar number: 0 for the first connection.
+    """
+
+    def __init__(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        self.number = number
+        self.reader = reader
+        self.writer = writer
+
+    async def head(self) -> bytes:
+        """Read the head of a request."""
+        return await self.reader.readuntil(b"\r\n\r\n")
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def ended(self) -> bool:
+        """Read until the caller's end. :return: whether it came as a reset."""
+        try:
+            while await self.reader.read(65536):
+                pass
+        except ConnectionError:
+            return True
+        return False
+
+    def reset(self) -> None:
+        """Break the connection."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.writer.transport.abort()
+
+
+class ScriptedServer:
+    """What a test sees of the server.
+
+    :ivar peers: connections so far.
+    """
+
+    def __init__(self, port: int):
+        self.port = port
+        self.peers: list[Peer] = []
+
+    def entry(self, **fields) -> BackendServer:
+        """Return an entry of the instance list."""
+        return BackendServer(
+            **{
+                "server_id": BackendServerId("b1"),
+                "service": ServiceName("s"),
+                "host": "127.0.0.1",
+                "port": self.port,
+                **fields,
+            }
+        )
+
+
+@asynccontextmanager
+async def scripted_server(
+    script: Callable[[Peer], Awaitable[None]],
+) -> AsyncIterator[ScriptedServer]:
+    """Serve with `script` on each connection; fails where a script has failed."""
+    tasks: set[asyncio.Task] = set()
+    errors: list[Exception] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        peer = Peer(len(running.peers), reader, writer)
+        running.peers.append(peer)
+        tasks.add(asyncio.current_task())
+        try:
+            await script(peer)
+        except Exception as error:
+            errors.append(error)
+        except asyncio.CancelledError:
+            return
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    running = ScriptedServer(server.sockets[0].getsockname()[1])
+    try:
+        yield running
+    finally:
+        server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    if errors:
+        raise errors[0]
