Reserve prepaid budgets at routers that have no sidecars

Cause: routers that reach backend servers themselves had no way to draw on prepaid totals; the accountant wants sidecars, ledger rows and a heartbeat of 2 s for returns.

Others' wants are heeded at once through apply(), within a second by a look at all rows, and no more than 5 s after they were last changed; no stock is laid in from tokens that others want. A row older than an unanswered transaction's (a cache) no longer counts as proof that it failed.

Ruled out: a lower cap on unsettled tokens than the allotment. What lies above it can't be spent while the store is out and can be drawn within milliseconds while it is not, so a smaller allotment serves the same end.

Figures: 300 seeded traces with kills, cuts, freezes, lost answers, late writes and top-ups, two routers: none overspent; with each of three guards removed some did. Sizes of allotments not measured yet.

--- a/bluebellshore/budget/__init__.py
+++ b/bluebellshore/budget/__init__.py
@@ -6,6 +6,7 @@
     FixedPolicy,
     HorizonPolicy,
     SharePolicy,
+    StandbyPolicy,
     make_policy,
 )
 
@@ -16,5 +17,6 @@
     "FixedPolicy",
     "HorizonPolicy",
     "SharePolicy",
+    "StandbyPolicy",
     "make_policy",
 ]
--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -1,15 +1,16 @@
 """Draws tokens for requests and settles their bills."""
 
 import asyncio
+import math
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import eliot
 import msgspec
 
 from bluebellshore.budget.book import AllotmentBook
-from bluebellshore.budget.composer import Request
+from bluebellshore.budget.composer import Cover, Request, Transaction
 from bluebellshore.budget.journal import CommitResult, Journal
 from bluebellshore.budget.policy import AllotmentPolicy
 from bluebellshore.budget.rows import IncarnationRow
@@ -42,12 +43,16 @@
     :param settle: bills are collected for this long; grows under conflicts.
     :param heartbeat: longest time between writes of the incarnation's row.
     :param poll: between looks at a budget that lacks tokens for a waiting request.
+    :param look: between looks at all budgets held, for tokens to draw or return.
+    :param cover: time for which a look that showed a budget exhausted counts.
     :param close: time after which a closing router leaves the rest to reclaim.
     """
 
     settle: float = 0.5
     heartbeat: float = 2.0
     poll: float = 0.1
+    look: float = math.inf
+    cover: float = COVER_SECONDS
     close: float = 10.0
 
 
@@ -56,6 +61,8 @@
 
     :param prepaid: prepaid total of a budget by the newest bundle, None if unknown.
     :param rng: source of jitter.
+    :param book: where the tokens are kept; new when left out.
+    :param keeps_ledger: whether bills are written, not their sums alone.
     """
 
     def __init__(
@@ -68,12 +75,17 @@
         clock: Callable[[], float] = time.monotonic,
         times: AccountantTimes | None = None,
         rng: random.Random | None = None,
+        book: AllotmentBook | None = None,
+        keeps_ledger: bool = True,
     ):
+        #: Called when the platform gives no answer (True) and when it does again.
+        self.on_platform: Callable[[bool], None] = lambda out: None
         self.on_settled: Callable[[str], None] = lambda attempt: None
+        self.on_applied: Callable[[Transaction], None] = lambda transaction: None
         self.platform_out = False
         self.conflicts = 0
         self.duplicates = 0
-        self.book = AllotmentBook()
+        self.book = book or AllotmentBook()
         self._incarnation = incarnation
         self._prepaid = prepaid
         self._clock = clock
@@ -86,12 +98,16 @@
             policy,
             prepaid,
             lambda attempt: self.on_settled(attempt),
+            keeps_ledger=keeps_ledger,
         )
+        self._journal.on_applied = lambda transaction: self.on_applied(transaction)
         self._waiters = Waiters()
         self._prepared: dict[IncarnationId, dict[BudgetId, int]] = {}
         self._wake = asyncio.Event()
         self._committing = asyncio.Lock()
         self._urgent = False
+        self._attended: set[BudgetId] = set()
+        self._looked_at = 0.0
         self._short_until: dict[BudgetId, float] = {}
         self._closing = False
         self._failures = 0
@@ -113,9 +129,26 @@
                 break
             except PlatformError as error:
                 eliot.log_message("incarnation_row_failed", error=str(error))
+                self._failed()
                 await self._pause()
+        self._reached()
         self._failures = 0
-        self._committed_at = self._clock()
+        self._committed_at = self._looked_at = self._clock()
+
+    def cover(self, budget: BudgetId) -> Cover | None:
+        """Return what a budget could cover at most, as last seen."""
+        return self._journal.covers_by_budget.get(budget)
+
+    def waits_for(self, budget: BudgetId) -> bool:
+        """Whether requests wait for tokens of a budget."""
+        return any(waiter.budget == budget for waiter in self._waiters)
+
+    def attend(self, budgets: Iterable[BudgetId]) -> None:
+        """Look at budgets soon: draw what the policy asks, return what others lack."""
+        for budget in budgets:
+            self.book.account(budget)
+            self._attended.add(budget)
+        self._hurry()
 
     def prepare(self, sidecar: IncarnationId) -> None:
         """Have a sidecar listed in the incarnation's row ahead of its first use."""
@@ -266,7 +299,7 @@
             cover is not None
             and tokens > cover.tokens
             and cover.prepaid_total == self._prepaid(budget)
-            and self._clock() - cover.seen_at < COVER_SECONDS
+            and self._clock() - cover.seen_at < self._times.cover
         )
 
     def _overload(self, message: str, peer: str = "") -> OverloadError:
@@ -324,9 +357,12 @@
             by_budget = needs.setdefault(sidecar, {})
             for budget, tokens in tokens_by_budget.items():
                 by_budget[budget] = by_budget.get(budget, 0) + tokens
+        looks = now >= self._looked_at + self._times.look
+        attended = self.book.accounts_by_budget if looks else self._attended
         return Request(
             demands_by_budget=self._waiters.demands_by_budget(),
             needs_by_sidecar=needs,
+            attended=frozenset(attended),
             settle=bool(self.book.unsettled_by_attempt) and now >= self._settle_at,
             heartbeat=now >= self._committed_at + self._times.heartbeat,
             closing=self._closing,
@@ -336,7 +372,8 @@
         """Return when the next commit is due."""
         if self._urgent:
             return 0.0
-        due = self._committed_at + self._times.heartbeat
+        heartbeat_at = self._committed_at + self._times.heartbeat
+        due = min(heartbeat_at, self._looked_at + self._times.look)
         if self.book.unsettled_by_attempt:
             due = min(due, self._settle_at)
         for waiter in self._waiters:
@@ -363,13 +400,12 @@
         try:
             result = await self._journal.commit(request, now)
         except PlatformError as error:
-            self.platform_out = True
-            self._failures += 1
+            self._failed()
             self._urgent = True
             eliot.log_message("budget_commit_failed", error=str(error))
             await self._pause()
             return
-        self.platform_out = False
+        self._reached()
         if result is CommitResult.CONFLICT:
             self.conflicts += 1
             self._failures += 1
@@ -383,6 +419,9 @@
         self._failures = 0
         if result is CommitResult.COMMITTED:
             self._committed_at = now
+        self._attended -= request.attended
+        if request.attended >= self.book.accounts_by_budget.keys():
+            self._looked_at = now
         for sidecar in request.needs_by_sidecar:
             self._prepared.pop(sidecar, None)
         if request.settle:
@@ -394,6 +433,17 @@
         for budget in request.demands_by_budget:
             self._short_until[budget] = now + self._times.poll
 
+    def _failed(self) -> None:
+        self._failures += 1
+        if not self.platform_out:
+            self.platform_out = True
+            self.on_platform(True)
+
+    def _reached(self) -> None:
+        if self.platform_out:
+            self.platform_out = False
+            self.on_platform(False)
+
     async def _pause(self) -> None:
         limit = min(MAX_BACKOFF_SECONDS, BACKOFF_SECONDS * 2 ** min(self._failures, 10))
         await asyncio.sleep(self._rng.uniform(0, limit))
--- a/bluebellshore/budget/book.py
+++ b/bluebellshore/budget/book.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bluebellshore.budget.policy import BurnRate
+from bluebellshore.budget.policy import BURN_WINDOW_SECONDS, BurnRate
 from bluebellshore.budget.rows import Bill
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
 from bluebellshore.wire.link_pb2 import Receipt
@@ -77,10 +77,17 @@
     ``unsettled_by_attempt`` holds bills until the ledger has them.
 
     :param min_cap: least cap of a sidecar in use.
+    :param burn_window_seconds: time over which burn rates are averaged.
     """
 
-    def __init__(self, *, min_cap: Tokens = MIN_CAP_TOKENS):
+    def __init__(
+        self,
+        *,
+        min_cap: Tokens = MIN_CAP_TOKENS,
+        burn_window_seconds: float = BURN_WINDOW_SECONDS,
+    ):
         self._min_cap = min_cap
+        self._burn_window_seconds = burn_window_seconds
         self.accounts_by_budget: dict[BudgetId, Account] = {}
         self.reservations_by_attempt: dict[str, Reservation] = {}
         self.unsettled_by_attempt: dict[str, Bill] = {}
@@ -92,7 +99,7 @@
         """Return the account of a budget, opened on first use."""
         account = self.accounts_by_budget.get(budget)
         if account is None:
-            account = Account(burn=BurnRate())
+            account = Account(burn=BurnRate(self._burn_window_seconds))
             self.accounts_by_budget[budget] = account
         return account
 
--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -28,6 +28,8 @@
 __all__ = ["Composer", "Cover", "Demand", "Request", "Transaction"]
 
 BATCH_BILLS = 200
+#: A want that stood unchanged for so long is a dead router's, or in vain.
+WANTED_SECONDS = 5.0
 
 
 class Demand(msgspec.Struct, frozen=True):
@@ -55,6 +57,7 @@
 class Request(msgspec.Struct, frozen=True):
     """What a transaction should contain.
 
+    :param attended: budgets to look at, for grants and returns that are due.
     :param settle: bills are due.
     :param heartbeat: write even when there is nothing else.
     :param closing: return all that is free and close the row when nothing is open.
@@ -62,11 +65,19 @@
 
     demands_by_budget: dict[BudgetId, Demand]
     needs_by_sidecar: dict[IncarnationId, dict[BudgetId, int]]
+    attended: frozenset[BudgetId] = frozenset()
     settle: bool = False
     heartbeat: bool = False
     closing: bool = False
 
 
+class _Want(msgspec.Struct, frozen=True):
+    """When another incarnation's want was seen first."""
+
+    sequence: int
+    seen_at: float
+
+
 class Transaction(msgspec.Struct):
     """Effects of a transaction on the book, applied once it is known to stand."""
 
@@ -88,6 +99,8 @@
     """Decides what goes into a transaction; changes nothing of the book.
 
     ``covers_by_budget`` tells what a budget could cover at most, as last seen.
+
+    :param keeps_ledger: whether bills are written, not their sums alone.
     """
 
     def __init__(
@@ -96,17 +109,21 @@
         book: AllotmentBook,
         policy: AllotmentPolicy,
         prepaid: Callable[[BudgetId], Tokens | None],
+        *,
+        keeps_ledger: bool = True,
     ):
         self.covers_by_budget: dict[BudgetId, Cover] = {}
         self._incarnation = incarnation
         self._book = book
         self._policy = policy
         self._prepaid = prepaid
+        self._keeps_ledger = keeps_ledger
+        self._wants: dict[tuple[BudgetId, IncarnationId], _Want] = {}
         self._sequence = 0
 
     def budgets(self, request: Request) -> list[BudgetId]:
         """Return the budgets whose rows the transaction needs."""
-        budgets = set(request.demands_by_budget)
+        budgets = {*request.demands_by_budget, *request.attended}
         if request.settle or request.closing:
             budgets.update(b.budget for b in self._batch())
         if request.heartbeat or request.closing:
@@ -114,6 +131,8 @@
         return sorted(budgets)
 
     def _batch(self) -> list[Bill]:
+        if not self._keeps_ledger:
+            return list(self._book.unsettled_by_attempt.values())
         bills_by_key: dict[str, Bill] = {}
         for bill in self._book.unsettled_by_attempt.values():
             bills_by_key.setdefault(bill.key, bill)
@@ -182,13 +201,15 @@
         own.outstanding -= billed
         view = self._view(budget, budget_row, prepaid_total, now)
         demand = request.demands_by_budget.get(budget)
-        surplus = self._surplus(view, budget_row, demand, request)
+        wants = self._wanted(budget, budget_row, now)
+        surplus = self._surplus(view, wants, demand, request)
         if surplus:
             transaction.returns[budget] = surplus
             own.outstanding -= surplus
         own.wanted = Tokens(0)
         if not surplus and not request.closing:
-            grant = self._grant(view, demand)
+            spoken_for = Tokens(sum(want[0] for want in wants))
+            grant = self._grant(view, demand, spoken_for)
             if demand is not None and view.free + grant < demand.smallest:
                 own.wanted = Tokens(demand.smallest - view.free)
             if grant:
@@ -221,32 +242,54 @@
         cover = Cover(Tokens(prepaid_total - billed), prepaid_total, now)
         self.covers_by_budget[budget] = cover
 
-    def _grant(self, view: AllotmentView, demand: Demand | None) -> Tokens:
-        """Return the grant; never tokens that leave all waiting requests waiting."""
+    def _wanted(
+        self, budget: BudgetId, row: BudgetRow, now: float
+    ) -> list[tuple[Tokens, IncarnationId]]:
+        """Return what other incarnations want, of those that changed it lately."""
+        wanted = []
+        for incarnation, allotment in row.allotments.items():
+            if incarnation == self._incarnation:
+                continue
+            want = self._wants.get((budget, incarnation))
+            if not allotment.wanted or allotment.held:
+                self._wants.pop((budget, incarnation), None)
+                continue
+            if want is None or want.sequence != allotment.sequence:
+                want = _Want(allotment.sequence, now)
+                self._wants[budget, incarnation] = want
+            if now - want.seen_at < WANTED_SECONDS:
+                wanted.append((allotment.wanted, incarnation))
+        return wanted
+
+    def _grant(
+        self, view: AllotmentView, demand: Demand | None, spoken_for: Tokens
+    ) -> Tokens:
+        """Return the grant; never tokens that leave all waiting requests waiting.
+
+        :param spoken_for: tokens that others want; no stock is laid in from these.
+        """
         lacking = 0 if demand is None else max(0, demand.total - view.free)
         smallest = 0 if demand is None else demand.smallest - view.free
         if smallest > view.unallotted:
             return Tokens(0)
         view = msgspec.structs.replace(view, need=Tokens(lacking))
-        wanted = max(lacking, self._policy.grant(view))
+        spare = max(0, view.unallotted - spoken_for)
+        wanted = max(lacking, min(self._policy.grant(view), spare))
         return Tokens(min(view.unallotted, wanted))
 
     def _surplus(
         self,
         view: AllotmentView,
-        row: BudgetRow,
+        others: list[tuple[Tokens, IncarnationId]],
         demand: Demand | None,
         request: Request,
     ) -> Tokens:
-        """Return what goes back: all when closing or when another one lacks it."""
+        """Return what goes back: all when closing or when another one lacks it.
+
+        :param others: tokens that other incarnations want.
+        """
         if request.closing:
             return view.free
-        wanted = [
-            (allotment.wanted, incarnation)
-            for incarnation, allotment in row.allotments.items()
-            if allotment.wanted and not allotment.held
-        ]
-        others = [entry for entry in wanted if entry[1] != self._incarnation]
         if demand is not None:
             lacking = demand.smallest - view.free
             first = not others or (lacking, self._incarnation) < min(others)
@@ -270,7 +313,7 @@
         own_key = incarnation_key(self._incarnation)
         own = Write(own_key, transaction.expect, encode_row(row))
         transaction.writes.insert(0, own)
-        if not transaction.bills:
+        if not (transaction.bills and self._keeps_ledger):
             return
         ledger = ledger_key(self._incarnation, transaction.sequence)
         content = encode_row(LedgerRow(transaction.bills))
--- a/bluebellshore/budget/journal.py
+++ b/bluebellshore/budget/journal.py
@@ -40,6 +40,7 @@
     """Commits changes of the book to the table, one transaction at a time.
 
     :param on_settled: called with each attempt whose bill the ledger has.
+    :param keeps_ledger: whether bills are written, not their sums alone.
     """
 
     def __init__(
@@ -50,7 +51,11 @@
         policy: AllotmentPolicy,
         prepaid: Callable[[BudgetId], Tokens | None],
         on_settled: Callable[[str], None],
+        *,
+        keeps_ledger: bool = True,
     ):
+        #: Called with each transaction that is known to stand.
+        self.on_applied: Callable[[Transaction], None] = lambda transaction: None
         self.fenced = False
         self.closed = False
         self.dropped = 0
@@ -58,7 +63,9 @@
         self._incarnation = incarnation
         self._book = book
         self._on_settled = on_settled
-        self._composer = Composer(incarnation, book, policy, prepaid)
+        self._composer = Composer(
+            incarnation, book, policy, prepaid, keeps_ledger=keeps_ledger
+        )
         self._unresolved: list[Transaction] = []
 
     @property
@@ -106,7 +113,7 @@
         for transaction in list(self._unresolved):
             if current is not None and current.sequence == transaction.sequence:
                 self._apply(transaction)
-            elif row is None or row.version != transaction.expect:
+            elif row is None or row.version > transaction.expect:
                 self._discard(transaction)
         if current is None or current.state is not IncarnationState.LIVE:
             self.fenced = not self.closed
@@ -161,6 +168,7 @@
         self.closed = transaction.row.state is IncarnationState.CLOSED
         for bill in transaction.bills:
             self._on_settled(bill.attempt)
+        self.on_applied(transaction)
 
     def _discard(self, transaction: Transaction) -> None:
         self._unresolved.remove(transaction)
--- a/bluebellshore/budget/policy.py
+++ b/bluebellshore/budget/policy.py
@@ -8,12 +8,14 @@
 from bluebellshore.ids import Tokens
 
 __all__ = [
+    "BURN_WINDOW_SECONDS",
     "AllotmentPolicy",
     "AllotmentView",
     "BurnRate",
     "FixedPolicy",
     "HorizonPolicy",
     "SharePolicy",
+    "StandbyPolicy",
     "make_policy",
 ]
 
@@ -22,6 +24,7 @@
 FIXED_TOKENS = Tokens(20_000)
 GRANT_SHARE = 0.1
 HORIZON_SHARE = 0.8
+STANDBY_SHARE = 0.3
 
 
 class AllotmentView(msgspec.Struct, frozen=True):
@@ -146,6 +149,29 @@
         return Tokens(view.free - target if view.free > 2 * target else 0)
 
 
+class StandbyPolicy(HorizonPolicy):
+    """Holds a share of the rest ahead of any use, more where the burn rate asks.
+
+    A router that has not served a customer yet can so ride out an outage too.
+
+    :param standby_share: share of the rest that all holders together hold unused.
+    """
+
+    def __init__(
+        self,
+        horizon_seconds: float,
+        share: float = HORIZON_SHARE,
+        standby_share: float = STANDBY_SHARE,
+    ):
+        super().__init__(horizon_seconds, share, idle_seconds=math.inf)
+        self._standby_share = standby_share
+
+    def _target(self, view: AllotmentView) -> int:
+        pool = view.unallotted + view.free
+        standby = int(self._standby_share * pool / max(1, view.holders))
+        return max(standby, super()._target(view))
+
+
 def make_policy(name: str, horizon_seconds: float) -> AllotmentPolicy:
     """Return the policy named in the settings.
 
--- /dev/null
+++ b/tests/test_entry_budgets.py
@@ -0,0 +1,618 @@
+"""Tests of customers' budgets at a router without sidecars, in virtual time."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+
+from bluebellshore.budget.book import AllotmentBook
+from bluebellshore.budget.journal import Journal
+from bluebellshore.budget.predecessor import Predecessors
+from bluebellshore.budget.rows import (
+    BudgetRow,
+    IncarnationRow,
+    IncarnationState,
+    decode_row,
+)
+from bluebellshore.entry.budgets import CustomerBudgets
+from bluebellshore.errors import (
+    InsufficientBudgetError,
+    OverloadError,
+    PlatformUnavailableError,
+    RefusedError,
+    TransactionConflictError,
+)
+from bluebellshore.experiments.virtual_time import run_virtual
+from bluebellshore.store.interface import TableChange
+from bluebellshore.store.memory import MemoryTable
+
+PREPAID = 10_000
+
+
+class Client:
+    """One router's way to the table; it can be cut, frozen, slow or lossy."""
+
+    def __init__(self, table, rng=None):
+        self.table = table
+        self.rng = rng or random.Random(1)
+        self.out = False
+        self.lose = 0.0
+        self.late = 0.0
+        self.lose_next = 0
+        self.late_next = 0
+        self.delay_seconds = 0.002
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.landings = []
+
+    async def read(self, keys):
+        await self._reach("read")
+        rows = await self.table.read(keys)
+        await self.awake.wait()
+        return rows
+
+    async def scan(self, prefix, after="", limit=1000):
+        await self._reach("scan")
+        return await self.table.scan(prefix, after, limit)
+
+    async def transact(self, writes):
+        await self._reach("transact")
+        if self._happens("late"):
+            seconds = self.rng.uniform(0.1, 4.0)
+            self._land(writes, seconds)
+            raise PlatformUnavailableError("late", step="transact")
+        # What was sent takes effect though the sender dies.
+        landing = self._land(writes, self.delay_seconds)
+        versions = await asyncio.shield(landing)
+        await self.awake.wait()
+        if isinstance(versions, TransactionConflictError):
+            raise versions
+        if self._happens("lose"):
+            raise PlatformUnavailableError("answer lost", step="transact")
+        return versions
+
+    def _happens(self, fault):
+        left = getattr(self, f"{fault}_next")
+        if left:
+            setattr(self, f"{fault}_next", left - 1)
+            return True
+        return self.rng.random() < getattr(self, fault)
+
+    def _land(self, writes, seconds):
+        async def land():
+            await asyncio.sleep(seconds)
+            try:
+                return await self.table.transact(writes)
+            except TransactionConflictError as error:
+                return error
+
+        task = asyncio.ensure_future(land())
+        self.landings.append(task)
+        return task
+
+    async def _reach(self, step):
+        await self.awake.wait()
+        await asyncio.sleep(self.delay_seconds)
+        await self.awake.wait()
+        if self.out:
+            raise PlatformUnavailableError("out", step=step)
+
+
+class World:
+    """Routers over one table, and what backend servers delivered in truth."""
+
+    def __init__(self, prepaid, seed=1):
+        self.rng = random.Random(seed)
+        self.table = MemoryTable()
+        self.prepaid = prepaid
+        self.clients = {}
+        self.routers = {}
+        self.spent = dict.fromkeys(prepaid, 0)
+        self.in_flight = {}
+        self.lives = 0
+        self.overspent = []
+
+    async def start(self, name, feed=True):
+        self.lives += 1
+        client = Client(self.table, self.rng)
+        router = CustomerBudgets(
+            client,
+            name,
+            prepaid=self.prepaid.get,
+            customers=lambda: list(self.prepaid),
+            clock=asyncio.get_running_loop().time,
+            rng=random.Random(self.rng.random()),
+            incarnation=f"{name}.{self.lives}",
+        )
+        self.clients[name], self.routers[name] = client, router
+        await router.open()
+        if feed:
+            task = asyncio.create_task(self._feed(router, client))
+            router._tasks.append(task)
+        return router
+
+    async def _feed(self, router, client):
+        seen = {}
+        while True:
+            await asyncio.sleep(0.1)
+            await client.awake.wait()
+            if client.out:
+                continue
+            rows = await self.table.scan("budget/")
+            new = [row for row in rows if seen.get(row.key) != row.version]
+            seen = {row.key: row.version for row in rows}
+            router.apply(TableChange(new, {}, 0))
+
+    async def kill(self, name):
+        """End a router at once; all that it had in flight may run to the end."""
+        router = self.routers.pop(name)
+        for task in router._tasks:
+            task.cancel()
+        await asyncio.gather(*router._tasks, return_exceptions=True)
+        for attempt, (owner, customer, tokens) in list(self.in_flight.items()):
+            if owner is router:
+                del self.in_flight[attempt]
+                self.spent[customer] += tokens
+
+    async def request(self, name, customer, tokens, cost, seconds, wait=1.0):
+        """Run one request. :return: None, or why it was refused."""
+        router, client = self.routers[name], self.clients[name]
+        attempt = f"a{self.rng.getrandbits(60):x}"
+        try:
+            await router.reserve(customer, attempt, tokens, wait_seconds=wait)
+        except RefusedError as error:
+            return error
+        await client.awake.wait()
+        if self.routers.get(name) is not router:
+            return None  # died before it was sent
+        self.in_flight[attempt] = (router, customer, tokens)
+        self.check()
+        await asyncio.sleep(seconds)
+        await client.awake.wait()
+        if self.in_flight.pop(attempt, None) is None:
+            return None
+        if cost is None:
+            router.release(attempt)
+        else:
+            self.spent[customer] += cost
+            router.settle(attempt, cost)
+        return None
+
+    def check(self):
+        for customer, total in self.prepaid.items():
+            reserved = sum(t for _, c, t in self.in_flight.values() if c == customer)
+            if self.spent[customer] + reserved > total:
+                self.overspent.append((customer, self.spent[customer], reserved))
+
+    def row(self, customer="acme"):
+        row = self.table.rows_by_key.get(f"budget/{customer}")
+        return decode_row(row, BudgetRow) or BudgetRow()
+
+    def incarnations(self):
+        return {
+            key.partition("/")[2]: decode_row(row, IncarnationRow)
+            for key, row in self.table.rows_by_key.items()
+            if key.startswith("incarnation/")
+        }
+
+    async def stop(self):
+        for router in list(self.routers.values()):
+            await router.close()
+
+
+def in_virtual_time(test):
+    return lambda self: run_virtual(test(self))
+
+
+class EntryBudgetsTest(unittest.TestCase):
+    """Single steps."""
+
+    @in_virtual_time
+    async def test_settles_what_was_used_and_returns_the_rest_when_it_stops(self):
+        world = World({"acme": PREPAID})
+        await world.start("r1")
+        await asyncio.sleep(1)
+        self.assertIsNone(await world.request("r1", "acme", 500, 120, 0.5))
+        self.assertIsNone(await world.request("r1", "acme", 500, None, 0.5))
+        await world.routers["r1"].close()
+        row = world.row()
+        self.assertEqual(row.settled, 120)
+        self.assertEqual(row.allotments, {})
+        states = [row.state for row in world.incarnations().values()]
+        self.assertEqual(states, [IncarnationState.CLOSED])
+
+    @in_virtual_time
+    async def test_never_counts_more_than_was_reserved(self):
+        world = World({"acme": PREPAID})
+        router = await world.start("r1")
+        await router.reserve("acme", "a", 100, wait_seconds=1)
+        router.settle("a", 5_000)
+        router.settle("a", 5_000)
+        await router.close()
+        self.assertEqual(world.row().settled, 100)
+
+    @in_virtual_time
+    async def test_same_attempt_id_later_is_another_attempt(self):
+        world = World({"acme": PREPAID})
+        router = await world.start("r1")
+        for _ in range(3):
+            await router.reserve("acme", "a", 100, wait_seconds=1)
+            with self.assertRaises(OverloadError):
+                await router.reserve("acme", "a", 100, wait_seconds=1)
+            router.settle("a", 100)
+        await router.close()
+        self.assertEqual(world.row().settled, 300)
+
+    @in_virtual_time
+    async def test_customer_without_a_total_is_not_limited(self):
+        world = World({"acme": PREPAID})
+        router = await world.start("r1")
+        await router.reserve("other", "a", 10**9, wait_seconds=0)
+        router.settle("a", 10**9)
+        await router.close()
+        self.assertEqual(world.row("other").settled, 0)
+
+    @in_virtual_time
+    async def test_first_request_of_a_new_customer_needs_one_write(self):
+        world = World({"acme": PREPAID})
+        router = await world.start("r1")
+        await asyncio.sleep(0.9)
+        world.prepaid["new"] = PREPAID
+        began_at = asyncio.get_running_loop().time()
+        written = world.table.counts.transactions
+        await router.reserve("new", "a", 300, wait_seconds=1)
+        self.assertEqual(world.table.counts.transactions, written + 1)
+        waited = asyncio.get_running_loop().time() - began_at
+        self.assertLess(waited, 0.02)  # of virtual time: a read and a write
+        await router.close()
+
+    @in_virtual_time
+    async def test_rides_out_an_outage_that_begins_a_second_after_the_start(self):
+        world = World({"acme": 100_000})
+        names = [f"r{i}" for i in range(5)]
+        for name in names:
+            await world.start(name)
+        await asyncio.sleep(3)
+        for client in world.clients.values():
+            client.out = True
+        refused = []
+        for step in range(90):
+            for name in names:
+                # A tenth of the total in nine seconds, evenly.
+                if error := await world.request(name, "acme", 40, 20, 0.0, wait=0):
+                    refused.append((step, error))
+            await asyncio.sleep(0.1)
+        self.assertEqual(refused, [])
+        for client in world.clients.values():
+            client.out = False
+        await asyncio.sleep(2)
+        self.assertEqual(world.row().settled, 9_000)
+        await world.stop()
+
+    @in_virtual_time
+    async def test_refuses_as_overload_while_the_store_is_out(self):
+        world = World({"acme": PREPAID})
+        await world.start("r1")
+        await asyncio.sleep(1)
+        world.clients["r1"].out = True
+        error = await world.request("r1", "acme", 9_000, 1, 0.0)
+        self.assertIsInstance(error, OverloadError)
+        self.assertGreater(error.retry_after, 0)
+        await world.stop()
+
+    @in_virtual_time
+    async def test_starts_while_the_store_is_out_and_serves_once_it_is_back(self):
+        world = World({"acme": PREPAID})
+        router = CustomerBudgets(
+            client := Client(world.table),
+            "r1",
+            prepaid=world.prepaid.get,
+            clock=asyncio.get_running_loop().time,
+        )
+        client.out = True
+        await router.open()
+        await asyncio.sleep(5)
+        client.out = False
+        await router.reserve("acme", "a", 100, wait_seconds=2)
+        await router.close()
+
+    @in_virtual_time
+    async def test_402_only_when_the_rest_does_not_cover_it(self):
+        world = World({"acme": PREPAID})
+        await world.start("r1")
+        await world.start("r2")
+        await asyncio.sleep(2)
+        self.assertIsNone(await world.request("r1", "acme", 9_000, 8_900, 0.1))
+        error = await world.request("r2", "acme", 1_101, 1, 0.0)
+        self.assertIsInstance(error, InsufficientBudgetError)
+        self.assertEqual(error.status, 402)
+        self.assertIsNone(await world.request("r2", "acme", 1_100, 1, 0.0))
+        world.prepaid["acme"] += 5_000
+        self.assertIsNone(await world.request("r2", "acme", 5_000, 1, 0.0))
+        await world.stop()
+
+    @in_virtual_time
+    async def test_tokens_in_flight_elsewhere_are_no_402(self):
+        world = World({"acme": PREPAID})
+        await world.start("r1")
+        await world.start("r2")
+        await asyncio.sleep(1)
+        long = asyncio.create_task(world.request("r1", "acme", 9_000, 10, 30.0))
+        await asyncio.sleep(1)
+        error = await world.request("r2", "acme", 2_000, 1, 0.0)
+        self.assertIsInstance(error, OverloadError)
+        self.assertGreater(error.retry_after, 0)
+        await long
+        self.assertIsNone(await world.request("r2", "acme", 2_000, 1, 0.0))
+        await world.stop()
+
+    @in_virtual_time
+    async def test_idle_tokens_of_others_come_within_a_second(self):
+        for feed in (True, False):
+            world = World({"acme": PREPAID})
+            for name in ("r1", "r2", "r3", "r4", "r5"):
+                await world.start(name, feed=feed)
+            await asyncio.sleep(3)
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            error = await world.request("r3", "acme", PREPAID, 1, 0.0, wait=3.0)
+            self.assertIsNone(error)
+            self.assertLess(loop.time() - began_at, 0.4 if feed else 1.5)
+            await world.stop()
+
+    @in_virtual_time
+    async def test_want_of_a_dead_router_is_not_heeded_for_ever(self):
+        world = World({"acme": PREPAID})
+        await world.start("r1")
+        await world.start("r2")
+        await asyncio.sleep(1)
+        asyncio.ensure_future(world.request("r1", "acme", PREPAID, 1, 30.0))
+        await asyncio.sleep(1)
+        asyncio.ensure_future(world.request("r2", "acme", 500, 1, 0, wait=1.0))
+        await asyncio.sleep(0.5)
+        self.assertTrue(any(a.wanted for a in world.row().allotments.values()))
+        await world.kill("r2")
+        world.prepaid["acme"] += 200
+        await asyncio.sleep(8)
+        account = world.routers["r1"].snapshot()["budgets"]["acme"]
+        self.assertGreater(account["free"], 0)
+        await world.stop()
+
+    @in_virtual_time
+    async def test_successor_settles_what_its_predecessor_may_have_spent(self):
+        world = World({"acme": PREPAID})
+        await world.start("r1")
+        await world.start("r2")
+        await asyncio.sleep(1)
+        asyncio.ensure_future(world.request("r1", "acme", 700, 700, 30.0))
+        await asyncio.sleep(1)
+        held = world.row().allotments["r1.1"].outstanding
+        await world.kill("r1")
+        await world.start("r1")
+        await asyncio.sleep(1)
+        row = world.row()
+        self.assertEqual(row.settled, held)
+        self.assertNotIn("r1.1", row.allotments)
+        self.assertIn("r2.2", row.allotments)  # another instance is left alone
+        self.assertEqual(set(world.incarnations()), {"r2.2", "r1.3"})
+        await world.stop()
+
+    @in_virtual_time
+    async def test_recovers_more_budgets_than_one_transaction_takes(self):
+        world = World({f"c{i}": 1_000 for i in range(200)})
+        await world.start("r1")
+        await asyncio.sleep(2)
+        await world.kill("r1")
+        await world.start("r1")
+        await asyncio.sleep(4)
+        for customer in world.prepaid:
+            self.assertNotIn("r1.1", world.row(customer).allotments)
+        self.assertNotIn("r1.1", world.incarnations())
+        await world.stop()
+
+    @in_virtual_time
+    async def test_late_write_of_a_dead_predecessor_takes_no_effect(self):
+        world = World({"acme": PREPAID})
+        router = await world.start("r1")
+        await asyncio.sleep(1)
+        world.clients["r1"].late_next = 50
+        asyncio.ensure_future(world.request("r1", "acme", 8_000, 1, 0.0))
+        await asyncio.sleep(0.05)
+        old = world.clients["r1"].landings
+        await world.kill("r1")
+        await world.start("r1")
+        await asyncio.sleep(0.05)
+        await asyncio.gather(*old)
+        self.assertNotIn(router.incarnation, world.row().allotments)
+        await world.stop()
+
+    @in_virtual_time
+    async def test_fenced_router_reserves_nothing(self):
+        world = World({"acme": PREPAID})
+        old = await world.start("r1")
+        await asyncio.sleep(1)
+        world.clients["r1"].awake.clear()
+        frozen = world.clients["r1"]
+        await world.start("r1")
+        await asyncio.sleep(1)
+        frozen.awake.set()
+        await asyncio.sleep(7)
+        self.assertTrue(old.fenced)
+        with self.assertRaises(OverloadError):
+            await old.reserve("acme", "a", 1, wait_seconds=0)
+        await old.close()
+        await world.stop()
+
+    @in_virtual_time
+    async def test_close_is_bounded_while_the_store_is_out_or_hangs(self):
+        for hang in (False, True):
+            world = World({"acme": PREPAID})
+            router = await world.start("r1")
+            await asyncio.sleep(1)
+            if hang:
+                world.clients["r1"].awake.clear()
+            else:
+                world.clients["r1"].out = True
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            await router.close()
+            self.assertLessEqual(loop.time() - began_at, 3.5)
+
+    @in_virtual_time
+    async def test_row_that_cannot_be_read_does_not_end_the_loop(self):
+        world = World({"acme": PREPAID})
+        router = await world.start("r1")
+        await asyncio.sleep(1)
+        good = world.table.rows_by_key["budget/acme"]
+        bad = msgspec.structs.replace(good, value=b"{")
+        world.table.rows_by_key["budget/acme"] = bad
+        await asyncio.sleep(3)
+        world.table.rows_by_key["budget/acme"] = good
+        await asyncio.sleep(2)
+        await router.reserve("acme", "a", 5_000, wait_seconds=1)
+        await router.close()
+
+
+class Trace:
+    """A random run of two routers with faults of every kind."""
+
+    STEPS = 60
+
+    def __init__(self, seed, kills=True):
+        self.rng = random.Random(seed)
+        self.kills = kills
+        self.world = World({"acme": 6_000, "bolt": 2_500}, seed)
+        self.false_402 = []
+
+    def run(self):
+        run_virtual(self._run())
+        return self.world.overspent
+
+    async def _run(self):
+        world = self.world
+        for name in ("r1", "r2"):
+            await world.start(name, feed=self.rng.random() < 0.7)
+        requests = []
+        for _ in range(self.STEPS):
+            await asyncio.sleep(self.rng.expovariate(5.0))
+            await self._step(requests)
+        for client in world.clients.values():
+            client.awake.set()
+            client.out = False
+            client.lose = client.late = 0.0
+        await asyncio.gather(*requests)
+        await asyncio.sleep(6)
+        world.check()
+        for customer in world.prepaid:
+            row = world.row(customer)
+            held = sum(a.outstanding for a in row.allotments.values())
+            if row.settled + held > world.prepaid[customer]:
+                world.overspent.append((customer, "row", row))
+            if row.settled + held < world.spent[customer]:
+                world.overspent.append((customer, "uncounted", row))
+        await world.stop()
+
+    async def _step(self, requests):
+        rng, world = self.rng, self.world
+        name = rng.choice(sorted(world.clients))
+        client = world.clients[name]
+        kind = rng.random()
+        if kind < 0.70:
+            requests.append(asyncio.create_task(self._request(name)))
+        elif kind < 0.74 and self.kills and name in world.routers:
+            await world.kill(name)
+            if rng.random() < 0.7:
+                await asyncio.sleep(rng.uniform(0, 2))
+            client.awake.set()
+            await world.start(name, feed=rng.random() < 0.7)
+        elif kind < 0.80:
+            client.out = not client.out
+        elif kind < 0.85:
+            client.awake.clear() if client.awake.is_set() else client.awake.set()
+        elif kind < 0.92:
+            client.lose = rng.choice((0.0, 0.5))
+        elif kind < 0.98:
+            client.late = rng.choice((0.0, 0.5))
+        else:
+            world.prepaid[rng.choice(("acme", "bolt"))] += rng.randrange(1_000)
+
+    async def _request(self, name):
+        rng, world = self.rng, self.world
+        if name not in world.routers:
+            return
+        customer = rng.choice(("acme", "bolt"))
+        tokens = rng.choice((50, 200, 600))
+        cost = rng.choice((None, 0, tokens // 2, tokens, tokens))
+        error = await world.request(
+            name, customer, tokens, cost, rng.uniform(0, 3), wait=rng.uniform(0, 2)
+        )
+        if isinstance(error, InsufficientBudgetError):
+            if world.prepaid[customer] - world.spent[customer] >= tokens:
+                self.false_402.append((customer, tokens))
+
+
+class EntryBudgetsTraceTest(unittest.TestCase):
+    """Random traces; the guards that the promise rests on are shown to matter."""
+
+    def overspends(self, seeds):
+        return [seed for seed in seeds if Trace(seed).run()]
+
+    def test_no_trace_overspends(self):
+        self.assertEqual(self.overspends(range(300)), [])
+
+    def test_no_402_while_the_rest_covers_the_request(self):
+        for seed in range(1_000, 1_080):
+            trace = Trace(seed, kills=False)
+            self.assertEqual(trace.run(), [], seed)
+            self.assertEqual(trace.false_402, [], seed)
+
+    def test_counting_nothing_for_the_dead_overspends(self):
+        with mock.patch.object(Predecessors, "_spent_at_most", lambda *_: 0):
+            self.assertTrue(self.overspends(range(40)))
+
+    def test_taking_an_unanswered_return_as_undone_overspends(self):
+        resolve = Journal._resolve
+
+        def forget(journal, row):
+            for transaction in list(journal._unresolved):
+                journal._discard(transaction)
+            return resolve(journal, row)
+
+        with mock.patch.object(Journal, "_resolve", forget):
+            self.assertTrue(self.overspends(range(40)))
+
+    def test_what_is_on_its_way_back_is_not_spent(self):
+        self.assertEqual(run_virtual(self._spend_what_returns()), [])
+
+    def test_spending_what_is_on_its_way_back_overspends(self):
+        def begin(book, budget, tokens):
+            book.account(budget).returning += tokens
+
+        def returned(book, budget, tokens):
+            book.account(budget).returning -= tokens
+            book.account(budget).free -= tokens
+
+        with (
+            mock.patch.object(AllotmentBook, "begin_return", begin),
+            mock.patch.object(AllotmentBook, "returned", returned),
+        ):
+            self.assertTrue(run_virtual(self._spend_what_returns()))
+
+    async def _spend_what_returns(self):
+        world = World({"acme": PREPAID})
+        await world.start("r1")
+        await world.start("r2")
+        await asyncio.sleep(2)
+        world.clients["r1"].late_next = 1
+        whole = world.request("r2", "acme", PREPAID, PREPAID, 20.0, wait=8.0)
+        whole = asyncio.ensure_future(whole)
+        await asyncio.sleep(0.2)
+        await world.request("r1", "acme", 1_000, 1_000, 20.0, wait=0)
+        self.assertIsNone(await whole)
+        return world.overspent
+
+
+if __name__ == "__main__":
+    unittest.main()
