--- /dev/null
+++ b/bluebellshore/entry/__main__.py
@@ -0,0 +1,31 @@
+"""Run an entry router with ``python -m bluebellshore.entry``.
+
+The same as ``bluebellshore entry`` without the command line's other parts: a process
+that was killed serves again sooner.
+"""
+
+import sys
+
+from bluebellshore.entry.router import EntryRouter
+from bluebellshore.errors import SettingsError
+from bluebellshore.runtime import run_role
+
+__all__ = ["main"]
+
+USAGE_EXIT_CODE = 2
+
+
+def main() -> int:
+    """Serve until SIGTERM. :return: exit code."""
+    try:
+        role = EntryRouter()
+    except SettingsError as error:
+        for problem in error.problems:
+            print(f"{error.step}: {problem}", file=sys.stderr)
+        return USAGE_EXIT_CODE
+    run_role(role)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -200,6 +200,10 @@
         known = configuration.customers_by_id.get(customer)
         return None if known is None else known.prepaid_total
 
+    def _customers(self) -> list[CustomerId]:
+        configuration = self._knowledge.configuration
+        return [] if configuration is None else list(configuration.customers_by_id)
+
     def _routers(self) -> int:
         return max(1 + len(self._peers.alive()), self._members.listed)
 
