Send a request on where another server has the address of the one that was meant

The old entry is now left out until it is renewed, and such a try doesn't count as sent to a backend server: the one that was meant never got it. It does count in the shared budget of repeats. Ruled out: counting any refusal as not sent; a backend server that is full did get the request, and the operator bounds to how many it goes.

--- a/bluebellshore/backend/answer.py
+++ b/bluebellshore/backend/answer.py
@@ -25,6 +25,8 @@
 
     #: No byte of the request reached the backend server.
     NOT_SENT = "not-sent"
+    #: Another backend server has the address now; it did not run the request.
+    MISDIRECTED = "misdirected"
     #: The backend server says that it did not run the request.
     NOT_RUN = "not-run"
     #: The request was sent and may have run.
--- a/bluebellshore/backend/direct.py
+++ b/bluebellshore/backend/direct.py
@@ -173,7 +173,9 @@
         if status == MISDIRECTED_STATUS or self._headers.not_run in headers:
             # Without an id it may be an earlier request's.
             if named or connection.first:
-                outcome, reason = Outcome.NOT_RUN, f"refused with {status}"
+                misdirected = status == MISDIRECTED_STATUS
+                outcome = Outcome.MISDIRECTED if misdirected else Outcome.NOT_RUN
+                reason = f"refused with {status}"
                 await self._read_refusal(connection)
             else:
                 reason = "a refusal of an unknown request"
--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -194,7 +194,7 @@
                 await self._attempt(call, place, sink, progress)
                 return
             except AttemptError as error:
-                self._note(call, error, progress)
+                self._note(place.server, error, progress)
                 step = next_step(
                     call,
                     error.outcome,
@@ -218,8 +218,12 @@
                 if step is Next.GIVE_UP:
                     raise _given_up(error, progress) from error
 
-    def _note(self, call: Call, error: AttemptError, progress: _Progress) -> None:
-        if error.outcome is Outcome.NOT_SENT:
+    def _note(
+        self, server: BackendServer, error: AttemptError, progress: _Progress
+    ) -> None:
+        if error.outcome is Outcome.MISDIRECTED:
+            self._knowledge.doubt(server.server_id)
+        if error.outcome in (Outcome.NOT_SENT, Outcome.MISDIRECTED):
             progress.unreachable += 1
             return
         progress.sends += 1
@@ -365,7 +369,7 @@
 def _result_of(error: AttemptError) -> Result:
     if error.outcome is Outcome.NOT_SENT:
         return Result.UNREACHABLE
-    if error.outcome is Outcome.NOT_RUN:
+    if error.outcome in (Outcome.NOT_RUN, Outcome.MISDIRECTED):
         return Result.REFUSED
     if error.timed_out:
         return Result.TIMED_OUT
--- a/bluebellshore/entry/knowledge.py
+++ b/bluebellshore/entry/knowledge.py
@@ -53,6 +53,7 @@
         self._lapse_seconds = lapse_seconds
         self._tables: dict[str, _Table] = {name: _Table() for name in TABLES}
         self._lapsed_until: dict[BackendServerId, float] = {}
+        self._doubted_versions: dict[BackendServerId, int] = {}
         self.configuration: Configuration | None = None
         self.servers_by_id: dict[BackendServerId, BackendServer] = {}
         self.orders_by_service: dict[ServiceName, Orders] = {}
@@ -69,9 +70,33 @@
         return [
             server
             for server in self.servers_by_id.values()
-            if server.service == service and server.state is ServerState.READY
+            if server.service == service
+            and server.state is ServerState.READY
+            and not self._is_doubted(server.server_id)
         ]
 
+    def doubt(self, server_id: BackendServerId) -> None:
+        """Leave a backend server out whose address belongs to another one.
+
+        It counts again once it renews its entry.
+        """
+        row = self._tables[SERVERS_TABLE].rows_by_key.get(_key_of(server_id))
+        if row is not None:
+            self._doubted_versions[server_id] = row.version
+            eliot.log_message(
+                "backend_server_replaced", server=server_id, row_version=row.version
+            )
+
+    def _is_doubted(self, server_id: BackendServerId) -> bool:
+        version = self._doubted_versions.get(server_id)
+        if version is None:
+            return False
+        row = self._tables[SERVERS_TABLE].rows_by_key.get(_key_of(server_id))
+        if row is not None and row.version > version:
+            del self._doubted_versions[server_id]
+            return False
+        return True
+
     def apply_snapshot(
         self, name: str, snapshot: TableSnapshot, now: float, *, after_outage: bool
     ) -> None:
@@ -192,10 +217,15 @@
                 self._forget(server_id, "entry missing after an outage")
 
     def _forget(self, server_id: BackendServerId, reason: str) -> None:
+        self._doubted_versions.pop(server_id, None)
         if self.servers_by_id.pop(server_id, None) is not None:
             self.renewed.append(server_id)
             eliot.log_message("backend_server_gone", server=server_id, reason=reason)
 
 
+def _key_of(server_id: BackendServerId) -> str:
+    return f"{SERVERS_TABLE}/{server_id}"
+
+
 def _server_id(key: str) -> BackendServerId:
     return BackendServerId(key.partition("/")[2])
--- a/bluebellshore/routing/repeats.py
+++ b/bluebellshore/routing/repeats.py
@@ -49,6 +49,9 @@
         return Next.GIVE_UP
     if outcome is Outcome.NOT_SENT:
         return Next.ELSEWHERE if unreachable < MAX_UNREACHABLE else Next.GIVE_UP
+    if outcome is Outcome.MISDIRECTED:
+        # The backend server that was meant did not get it.
+        return Next.REPEAT if unreachable < MAX_UNREACHABLE else Next.GIVE_UP
     if sends >= call.route.max_attempts:
         return Next.GIVE_UP
     if outcome is Outcome.NOT_RUN and not began:
--- a/tests/test_backend_direct.py
+++ b/tests/test_backend_direct.py
@@ -241,9 +241,13 @@
 
     async def test_refusals(self):
         refusal = answer("a1", b"x", status=503, headers=(f"{NOT_RUN}: 1",))
-        for data, status in ((refusal, 503), (answer("a1", status=421), 421)):
+        misdirected = answer("a1", status=421)
+        for data, status, outcome in (
+            (refusal, 503, Outcome.NOT_RUN),
+            (misdirected, 421, Outcome.MISDIRECTED),
+        ):
             error = await self.refused(data)
-            self.assertIs(error.outcome, Outcome.NOT_RUN)
+            self.assertIs(error.outcome, outcome)
             self.assertEqual(error.status, status)
         for status in (408, 429, 503):
             found = await self.one(answer("a1", b"x", status=status, signed=False))
--- /dev/null
+++ b/tests/test_entry_knowledge.py
@@ -0,0 +1,149 @@
+"""Tests of what an entry router knows of the platform's rows."""
+
+import unittest
+
+import msgspec
+
+from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.ids import ServiceName
+from bluebellshore.store import Row, TableChange, TableSnapshot
+
+LAPSE_SECONDS = 2.0
+SERVICE = ServiceName("s")
+
+
+def configuration_row(number: int, version: int) -> Row:
+    value = {"version": number, "routes": [], "services": [{"name": "s"}]}
+    return Row("op/config", version, msgspec.json.encode(value))
+
+
+def server_row(name: str, version: int, **changes: object) -> Row:
+    value = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "seq": 1,
+    }
+    return Row(f"servers/{name}", version, msgspec.json.encode(value | changes))
+
+
+def change(*rows: Row, removed: dict[str, int] | None = None) -> TableChange:
+    versions = [row.version for row in rows] + list((removed or {}).values())
+    return TableChange(list(rows), removed or {}, max(versions, default=0))
+
+
+class KnowledgeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.knowledge = Knowledge(LAPSE_SECONDS)
+
+    def names(self, now: float = 0.0) -> set[str]:
+        return {s.server_id for s in self.knowledge.servers_of(SERVICE, now)}
+
+    def test_configuration_never_goes_back(self) -> None:
+        self.knowledge.apply("op", change(configuration_row(7, 5)), 0.0)
+        self.knowledge.apply("op", change(configuration_row(3, 4)), 0.0)
+        self.assertEqual(self.knowledge.configuration.number, 7)
+        # A newer row with an older number is somebody's mistake.
+        self.knowledge.apply("op", change(configuration_row(3, 9)), 0.0)
+        self.assertEqual(self.knowledge.configuration.number, 7)
+
+    def test_damaged_configuration_changes_nothing(self) -> None:
+        self.knowledge.apply("op", change(configuration_row(7, 5)), 0.0)
+        self.knowledge.apply("op", change(Row("op/config", 6, b"{")), 0.0)
+        self.assertEqual(self.knowledge.configuration.number, 7)
+
+    def test_draining_server_takes_no_new_requests(self) -> None:
+        self.knowledge.apply("servers", change(server_row("a", 1)), 0.0)
+        self.assertEqual(self.names(), {"a"})
+        draining = server_row("a", 2, state="draining")
+        self.knowledge.apply("servers", change(draining), 0.0)
+        self.assertEqual(self.names(), set())
+
+    def test_damaged_entry_names_no_server_and_others_hold(self) -> None:
+        rows = [server_row("a", 1), server_row("b", 2)]
+        self.knowledge.apply("servers", change(*rows), 0.0)
+        for version, damaged in enumerate(
+            [
+                Row("servers/a", 3, b"\xff\x00"),
+                server_row("a", 4, slots="many"),
+                server_row("a", 5, state="asleep"),
+                server_row("a", 6, address="nowhere"),
+            ]
+        ):
+            with self.subTest(version):
+                self.knowledge.apply("servers", change(damaged), 0.0)
+                self.assertEqual(self.names(), {"b"})
+
+    def test_removed_entry_is_gone_at_once_while_the_store_is_well(self) -> None:
+        self.knowledge.apply("servers", change(server_row("a", 1)), 0.0)
+        gone = change(removed={"servers/a": 2})
+        self.knowledge.apply("servers", gone, 0.0)
+        self.assertEqual(self.names(), set())
+        self.assertIn("a", self.knowledge.renewed)
+
+    def test_entry_that_lapsed_in_an_outage_counts_a_little_longer(self) -> None:
+        self.knowledge.apply("servers", change(server_row("a", 1)), 0.0)
+        gone = change(removed={"servers/a": 2})
+        self.knowledge.apply("servers", gone, 10.0, after_outage=True)
+        self.assertEqual(self.names(10.0 + LAPSE_SECONDS / 2), {"a"})
+        self.assertEqual(self.names(10.0 + LAPSE_SECONDS), set())
+
+    def test_lapsed_entry_that_comes_back_stays(self) -> None:
+        self.knowledge.apply("servers", change(server_row("a", 1)), 0.0)
+        gone = change(removed={"servers/a": 2})
+        self.knowledge.apply("servers", gone, 10.0, after_outage=True)
+        self.knowledge.apply("servers", change(server_row("a", 3)), 11.0)
+        self.assertEqual(self.names(20.0), {"a"})
+
+    def test_late_news_of_a_peer_does_not_bring_a_removed_server_back(self) -> None:
+        self.knowledge.apply("servers", change(server_row("a", 1)), 0.0)
+        self.knowledge.apply("servers", change(removed={"servers/a": 5}), 0.0)
+        self.knowledge.apply("servers", change(server_row("a", 4)), 0.0)
+        self.assertEqual(self.names(), set())
+
+    def test_snapshot_removes_what_it_lacks(self) -> None:
+        rows = [server_row("a", 1), server_row("b", 2)]
+        self.knowledge.apply("servers", change(*rows), 0.0)
+        snapshot = TableSnapshot({"servers/b": rows[1]}, 9)
+        self.knowledge.apply_snapshot("servers", snapshot, 0.0, after_outage=False)
+        self.assertEqual(self.names(), {"b"})
+        self.assertEqual(self.knowledge.versions()["servers"], 9)
+
+    def test_peer_gets_just_what_it_lacks(self) -> None:
+        rows = [server_row("a", 1), server_row("b", 2), server_row("c", 3)]
+        self.knowledge.apply("servers", change(*rows), 0.0)
+        self.knowledge.apply("servers", change(removed={"servers/a": 4}), 0.0)
+        changes = self.knowledge.newer_than({"servers": 2, "op": -1})
+        self.assertEqual(set(changes), {"servers"})
+        self.assertEqual([row.key for row in changes["servers"].rows], ["servers/c"])
+        self.assertEqual(changes["servers"].removed_by_key, {"servers/a": 4})
+        other = Knowledge(LAPSE_SECONDS)
+        for table, missing in self.knowledge.newer_than({}).items():
+            other.apply(table, missing, 0.0)
+        self.assertEqual(
+            {s.server_id for s in other.servers_of(SERVICE, 0)}, {"b", "c"}
+        )
+
+    def test_server_born_anew_is_told(self) -> None:
+        self.knowledge.apply("servers", change(server_row("a", 1, born=1000)), 0.0)
+        self.knowledge.apply("servers", change(server_row("a", 2, born=1000)), 0.0)
+        self.assertEqual(self.knowledge.renewed, [])
+        self.knowledge.apply("servers", change(server_row("a", 3, born=2000)), 0.0)
+        self.assertEqual(self.knowledge.renewed, ["a"])
+
+    def test_server_whose_address_was_taken_waits_for_its_next_renewal(self) -> None:
+        self.knowledge.apply("servers", change(server_row("a", 1)), 0.0)
+        self.knowledge.doubt("a")
+        self.assertEqual(self.names(), set())
+        self.knowledge.apply("servers", change(server_row("a", 1)), 0.0)
+        self.assertEqual(self.names(), set())
+        self.knowledge.apply("servers", change(server_row("a", 2)), 0.0)
+        self.assertEqual(self.names(), {"a"})
+
+
+if __name__ == "__main__":
+    unittest.main()
