Let routers lend each other tokens while the store can't move them

While the store is out a router refuses what others hold; near exhaustion it waits for them to return it through the store.

A lender reserves as if it ran the request itself, so that loans count in its allotment whatever becomes of either router; one that is not repaid counts as spent. Shares of the standby policy are now of the whole rest, not of what is unallotted.

Ruled out: more standby alone, for what a kill of all loses.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -189,6 +189,14 @@
             raise self._refusal(waiter)
         future.result()
 
+    def try_reserve(
+        self, budget: BudgetId, attempt: str, sidecar: IncarnationId, tokens: Tokens
+    ) -> bool:
+        """Reserve at once or not at all."""
+        if self.fenced or self._closing:
+            return False
+        return self.book.reserve(budget, attempt, sidecar, tokens, self._clock())
+
     def reassign(self, attempt: str, sidecar: IncarnationId) -> None:
         """Move a reservation to another sidecar before the attempt is sent there.
 
@@ -260,20 +268,7 @@
             "duplicate_receipts": self.duplicates,
             "dropped_bills": self._journal.dropped,
             "clamped_bills": self.book.clamped,
-            "budgets": {
-                budget: {
-                    "free": account.free,
-                    "reserved": account.reserved,
-                    "unsettled": account.unsettled,
-                    "cap_per_sidecar": account.cap,
-                    "burn_per_second": account.burn.rate(self._clock()),
-                }
-                for budget, account in self.book.accounts_by_budget.items()
-            },
-            "sidecars": {
-                sidecar: {"listed": use.listed, "unsettled": use.unsettled}
-                for sidecar, use in self.book.uses_by_sidecar.items()
-            },
+            **self.book.snapshot(self._clock()),
         }
 
     def _hurry(self) -> None:
--- a/bluebellshore/budget/book.py
+++ b/bluebellshore/budget/book.py
@@ -288,6 +288,25 @@
         for budget, cap in limits.caps.items():
             self.account(budget).cap = cap
 
+    def snapshot(self, now: float) -> dict:
+        """Return budgets and sidecars for a dump of the state."""
+        return {
+            "budgets": {
+                budget: {
+                    "free": account.free,
+                    "reserved": account.reserved,
+                    "unsettled": account.unsettled,
+                    "cap_per_sidecar": account.cap,
+                    "burn_per_second": account.burn.rate(now),
+                }
+                for budget, account in self.accounts_by_budget.items()
+            },
+            "sidecars": {
+                sidecar: {"listed": use.listed, "unsettled": use.unsettled}
+                for sidecar, use in self.uses_by_sidecar.items()
+            },
+        }
+
     def _charge(
         self, sidecar: IncarnationId, budget: BudgetId, tokens: int, now: float
     ) -> None:
--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -233,6 +233,7 @@
             free=Tokens(account.free),
             burn=account.burn.rate(now),
             idle_seconds=now - account.reserved_at,
+            rest=Tokens(max(0, prepaid_total - row.settled - row.held())),
         )
 
     def _see_cover(
--- a/bluebellshore/budget/policy.py
+++ b/bluebellshore/budget/policy.py
@@ -25,12 +25,16 @@
 GRANT_SHARE = 0.1
 HORIZON_SHARE = 0.8
 STANDBY_SHARE = 0.3
+#: Parts of the target below which tokens are drawn and above which they go back.
+STANDBY_REFILL = 0.75
+STANDBY_SURPLUS = 1.5
 
 
 class AllotmentView(msgspec.Struct, frozen=True):
     """What a policy sees of a budget when a router may change its allotment.
 
     :param unallotted: tokens that nobody holds.
+    :param rest: tokens that are not billed, held or not.
     :param holders: incarnations with an entry in the row, this one included.
     :param free: tokens held here and not reserved.
     :param burn: tokens a second reserved here lately.
@@ -44,6 +48,7 @@
     burn: float
     need: Tokens = Tokens(0)
     idle_seconds: float = 0.0
+    rest: Tokens = Tokens(0)
 
 
 class AllotmentPolicy(Protocol):
@@ -167,10 +172,22 @@
         self._standby_share = standby_share
 
     def _target(self, view: AllotmentView) -> int:
-        pool = view.unallotted + view.free
-        standby = int(self._standby_share * pool / max(1, view.holders))
+        standby = int(self._standby_share * view.rest / max(1, view.holders))
         return max(standby, super()._target(view))
 
+    def grant(self, view: AllotmentView) -> Tokens:
+        """Fill up to the target when clearly less is left."""
+        target = self._target(view)
+        left = view.free - view.need
+        low = left < STANDBY_REFILL * target
+        return Tokens(max(0, target - max(0, left)) if low else 0)
+
+    def surplus(self, view: AllotmentView) -> Tokens:
+        """Return what is clearly above the target."""
+        target = self._target(view)
+        high = view.free > STANDBY_SURPLUS * target
+        return Tokens(view.free - target if high else 0)
+
 
 def make_policy(name: str, horizon_seconds: float) -> AllotmentPolicy:
     """Return the policy named in the settings.
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -10,11 +10,23 @@
 import eliot
 import msgspec
 
-from bluebellshore.budget import Accountant, AccountantTimes, StandbyPolicy
+from bluebellshore.budget import (
+    Accountant,
+    AccountantTimes,
+    AllotmentPolicy,
+    StandbyPolicy,
+)
 from bluebellshore.budget.composer import Transaction
 from bluebellshore.budget.direct import DIRECT, DirectBook
 from bluebellshore.budget.predecessor import Predecessors
 from bluebellshore.budget.rows import BudgetRow, budget_key, decode_row
+from bluebellshore.entry.loans import (
+    Borrower,
+    Lender,
+    Loan,
+    RouterPeers,
+    make_receipt,
+)
 from bluebellshore.errors import (
     InsufficientBudgetError,
     OverloadError,
@@ -23,7 +35,6 @@
 )
 from bluebellshore.ids import BudgetId, CustomerId, IncarnationId, InstanceId, Tokens
 from bluebellshore.store.interface import TableChange, TableService
-from bluebellshore.wire.link_pb2 import Receipt
 
 __all__ = ["BUDGET_TABLE", "CustomerBudgets"]
 
@@ -44,18 +55,32 @@
 PREFETCH_SECONDS = 0.5
 #: Longest time that closing takes, with calls that hang.
 CLOSE_SECONDS = 3.0
+#: Longest wait for lenders to learn what their loans cost.
+REPAID_SECONDS = 0.5
+#: Waits for tokens from the store: before other routers are asked first, and again.
+FIRST_WAIT_SECONDS = 0.03
+NEXT_WAIT_SECONDS = 0.15
 #: At most one line on refusals per customer in this time.
 REFUSAL_LINE_SECONDS = 1.0
 #: After which a refused request may find tokens that others hold now.
 RETRY_AFTER_SECONDS = 0.5
 
 
-class _Open(msgspec.Struct, frozen=True):
-    """A reserved attempt, under a name that no other attempt ever has."""
+class _Open(msgspec.Struct):
+    """An attempt, under a name that no other attempt ever has.
+
+    :param own: tokens reserved in this router's allotment.
+    :param loan: name of the last loan asked for; one that was given back may still
+        be on its way, so that each try has its own.
+    :param lent: tokens that other routers lent.
+    """
 
     name: str
     customer: CustomerId
     tokens: Tokens
+    own: Tokens = Tokens(0)
+    loan: str = ""
+    lent: dict[IncarnationId, Tokens] = msgspec.field(default_factory=dict)
 
 
 class _Refusals(msgspec.Struct):
@@ -71,6 +96,8 @@
     :param prepaid: prepaid total in force; None for no limit.
     :param customers: customers in force, for whom a stock is laid in ahead.
     :param horizon_seconds: outage of the store that allotments ride out.
+    :param policy: size of allotments; by the horizon when left out.
+    :param peers: routers that may lend tokens; None for none.
     :param rng: source of jitter.
     :param incarnation: unique name of this life; made when left out.
     """
@@ -85,6 +112,8 @@
         horizon_seconds: float = HORIZON_SECONDS,
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
+        policy: AllotmentPolicy | None = None,
+        peers: RouterPeers | None = None,
         times: AccountantTimes = TIMES,
         incarnation: IncarnationId | None = None,
     ):
@@ -99,7 +128,7 @@
         self._accountant = Accountant(
             table,
             self.incarnation,
-            StandbyPolicy(horizon_seconds),
+            policy or StandbyPolicy(horizon_seconds),
             prepaid=lambda budget: prepaid(CustomerId(budget)),
             clock=clock,
             times=times,
@@ -109,6 +138,9 @@
         )
         self._accountant.on_applied = self._log_applied
         self._accountant.on_platform = self._log_platform
+        #: For other routers to borrow from.
+        self.lender = Lender(self._accountant, self.incarnation, clock)
+        self._borrower = peers and Borrower(peers, self.incarnation, clock)
         self._predecessors = Predecessors(table, self.incarnation, instance_id)
         self._open_by_attempt: dict[str, _Open] = {}
         self._count = 0
@@ -147,19 +179,13 @@
                 "an attempt of this id is under way", step=STEP, peer=customer
             )
         self._count += 1
-        opened = _Open(f"{self._count}", customer, tokens)
+        opened = _Open(f"{self.incarnation}/{self._count}", customer, tokens)
         self._open_by_attempt[attempt_id] = opened
         began_at = self._clock()
         try:
-            await self._accountant.reserve(
-                BudgetId(customer),
-                opened.name,
-                DIRECT,
-                tokens,
-                wait_seconds=wait_seconds,
-            )
+            await self._reserve(opened, wait_seconds)
         except BaseException as error:
-            del self._open_by_attempt[attempt_id]
+            self._open_by_attempt.pop(attempt_id, None)
             if isinstance(error, RefusedError):
                 refusal = self._truthful(error, opened)
                 self._log_refused(refusal, opened, self._clock() - began_at)
@@ -171,22 +197,27 @@
         opened = self._open_by_attempt.pop(attempt_id, None)
         if opened is None:
             return
-        receipt = Receipt(
-            attempt=opened.name,
-            key=f"{opened.customer}/~{opened.name}",
-            incarnation=self.incarnation,
-            customer=opened.customer,
-            budget=opened.customer,
-            tokens=max(0, min(tokens, opened.tokens)),
-            reserved_tokens=opened.tokens,
-        )
-        self._accountant.settle(receipt)
+        cost = max(0, min(tokens, opened.tokens))
+        if opened.own:
+            receipt = make_receipt(
+                self.incarnation, opened.name, opened.customer, cost, opened.own
+            )
+            self._accountant.settle(receipt)
+            cost -= receipt.tokens
+        for peer, lent in opened.lent.items():
+            part = Tokens(min(cost, lent))
+            self._borrower.repay(peer, opened.loan, part)
+            cost -= part
 
     def release(self, attempt_id: str) -> None:
         """Return the tokens of an attempt that did not run."""
         opened = self._open_by_attempt.pop(attempt_id, None)
-        if opened is not None:
+        if opened is None:
+            return
+        if opened.own:
             self._accountant.release(opened.name)
+        for peer in opened.lent:
+            self._borrower.repay(peer, opened.loan, Tokens(0))
 
     def apply(self, change: TableChange) -> None:
         """Take in changes of the table :data:`BUDGET_TABLE`."""
@@ -196,6 +227,8 @@
             account = self._book.accounts_by_budget.get(budget)
             if account is None:
                 continue
+            if self._borrower:
+                self._borrower.see(CustomerId(budget), decode_row(row, BudgetRow))
             waiting = self._accountant.waits_for(budget)
             if not (account.free or waiting):
                 continue
@@ -212,13 +245,22 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_SECONDS):
                 await self._accountant.close()
+        if self._borrower:
+            await self._borrower.close(REPAID_SECONDS)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def snapshot(self) -> dict:
         """Return the state for a dump."""
-        return {"instance_id": self._instance_id, **self._accountant.snapshot()}
+        borrower = self._borrower
+        return {
+            "instance_id": self._instance_id,
+            "loans": len(self.lender),
+            "lent_tokens": self.lender.lent_tokens,
+            "borrowed_tokens": borrower.borrowed_tokens if borrower else 0,
+            **self._accountant.snapshot(),
+        }
 
     async def _account(self) -> None:
         await self._accountant.open(self._instance_id)
@@ -259,8 +301,59 @@
             ]
             if new:
                 self._accountant.attend(new)
+            self.lender.expire()
             await asyncio.sleep(PREFETCH_SECONDS)
 
+    async def _reserve(self, opened: _Open, wait_seconds: float) -> None:
+        """Reserve from the allotment, or with loans when that is not to be had."""
+        deadline = self._clock() + wait_seconds
+        wait = FIRST_WAIT_SECONDS
+        while True:
+            left = max(0.0, deadline - self._clock())
+            if self._borrower is None:
+                wait = left
+            try:
+                await self._accountant.reserve(
+                    BudgetId(opened.customer),
+                    opened.name,
+                    DIRECT,
+                    opened.tokens,
+                    wait_seconds=min(wait, left),
+                )
+                opened.own = opened.tokens
+                return
+            except RefusedError as error:
+                certain = (
+                    isinstance(error, InsufficientBudgetError) and not error.retry_after
+                )
+                if certain or self.fenced or self._borrower is None:
+                    raise
+                if await self._borrow(opened):
+                    return
+                if self._clock() >= deadline:
+                    raise
+            wait = NEXT_WAIT_SECONDS
+
+    async def _borrow(self, opened: _Open) -> bool:
+        """Reserve what is free here and borrow the rest."""
+        budget = BudgetId(opened.customer)
+        own = Tokens(min(opened.tokens, max(0, self._book.account(budget).free)))
+        if own and not self._accountant.try_reserve(budget, opened.name, DIRECT, own):
+            return False
+        self._count += 1
+        opened.loan = f"{self.incarnation}/{self._count}"
+        loan = Loan(opened.loan, opened.customer, Tokens(opened.tokens - own))
+        lent: dict[IncarnationId, Tokens] = {}
+        try:
+            lent = await self._borrower.borrow(loan) if loan.tokens else {}
+        finally:
+            if own and loan.tokens and not lent:
+                self._accountant.release(opened.name)
+        if loan.tokens and not lent:
+            return False
+        opened.own, opened.lent = own, lent
+        return True
+
     def _wanted_elsewhere(self, row: BudgetRow) -> bool:
         return any(
             allotment.wanted and not allotment.held
--- /dev/null
+++ b/bluebellshore/experiments/entry_links.py
@@ -0,0 +1,83 @@
+"""What routers of an experiment reach: the in-memory table and each other."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from bluebellshore.entry.budgets import CustomerBudgets
+from bluebellshore.entry.loans import Lender, Loan
+from bluebellshore.errors import LinkError, PlatformUnavailableError
+from bluebellshore.ids import IncarnationId, Tokens
+from bluebellshore.store.interface import Row, Write
+from bluebellshore.store.memory import MemoryTable
+
+__all__ = ["MemoryPeers", "StoreClient", "StoreState"]
+
+READ_SECONDS = 0.004
+WRITE_SECONDS = 0.009
+PEER_SECONDS = 0.0025
+
+
+class StoreState(msgspec.Struct):
+    """Whether the store answers nobody."""
+
+    out: bool = False
+
+
+class StoreClient:
+    """A router's way to the table."""
+
+    def __init__(self, table: MemoryTable, store: "StoreState"):
+        self._table = table
+        self._store = store
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Read rows."""
+        await self._reach(READ_SECONDS)
+        return await self._table.read(keys)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        """Read rows by prefix."""
+        await self._reach(READ_SECONDS)
+        return await self._table.scan(prefix, after, limit)
+
+    async def transact(self, writes: Sequence[Write]) -> dict[str, int]:
+        """Apply writes."""
+        await self._reach(WRITE_SECONDS)
+        return await self._table.transact(writes)
+
+    async def _reach(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        if self._store.out:
+            raise PlatformUnavailableError("out", step="experiment")
+
+
+class MemoryPeers:
+    """Other routers at some milliseconds' distance."""
+
+    def __init__(self, routers: Mapping[int, CustomerBudgets]):
+        self._routers = routers
+        self.calls = 0
+
+    def _lender(self, peer: IncarnationId) -> Lender:
+        for router in self._routers.values():
+            if router.incarnation == peer:
+                return router.lender
+        raise LinkError("gone", step="experiment")
+
+    def reachable(self) -> list[IncarnationId]:
+        """Return the live incarnations."""
+        return [router.incarnation for router in self._routers.values()]
+
+    async def borrow(self, peer: IncarnationId, loan: Loan) -> Tokens:
+        """Ask a router for a loan."""
+        self.calls += 1
+        await asyncio.sleep(PEER_SECONDS)
+        return self._lender(peer).lend(loan)
+
+    async def repay(self, peer: IncarnationId, name: str, tokens: Tokens) -> None:
+        """Tell a router what a loan cost."""
+        self.calls += 1
+        await asyncio.sleep(PEER_SECONDS)
+        self._lender(peer).repay(name, tokens)
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -1,6 +1,7 @@
 """Tests of customers' budgets at a router without sidecars, in virtual time."""
 
 import asyncio
+import contextlib
 import random
 import unittest
 from unittest import mock
@@ -17,8 +18,10 @@
     decode_row,
 )
 from bluebellshore.entry.budgets import CustomerBudgets
+from bluebellshore.entry.loans import Loan
 from bluebellshore.errors import (
     InsufficientBudgetError,
+    LinkError,
     OverloadError,
     PlatformUnavailableError,
     RefusedError,
@@ -100,11 +103,60 @@
             raise PlatformUnavailableError("out", step=step)
 
 
+class Peers:
+    """One router's way to the others; calls and answers may be lost or late."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.lose = 0.0
+        self.late = 0.0
+        self.delay_seconds = 0.002
+
+    def reachable(self):
+        return [router.incarnation for router in self.world.routers.values()]
+
+    async def borrow(self, peer, loan):
+        return await self._call(peer, lambda lender: lender.lend(loan))
+
+    async def repay(self, peer, name, tokens):
+        await self._call(peer, lambda lender: lender.repay(name, tokens))
+
+    async def _call(self, peer, step):
+        rng = self.world.rng
+        await asyncio.sleep(self.delay_seconds)
+        if rng.random() < self.lose:
+            raise LinkError("lost", step="test")
+        if rng.random() < self.late:
+            seconds = rng.uniform(0.1, 2.0)
+            asyncio.ensure_future(self._later(peer, step, seconds))
+            raise LinkError("late", step="test")
+        result = await self._reach(peer, step)
+        if rng.random() < self.lose:
+            raise LinkError("answer lost", step="test")
+        return result
+
+    async def _later(self, peer, step, seconds):
+        await asyncio.sleep(seconds)
+        with contextlib.suppress(LinkError):
+            await self._reach(peer, step)
+
+    async def _reach(self, peer, step):
+        for name, router in list(self.world.routers.items()):
+            if router.incarnation == peer:
+                await self.world.clients[name].awake.wait()
+                if self.world.routers.get(name) is router:
+                    return step(router.lender)
+        raise LinkError("gone", step="test")
+
+
 class World:
     """Routers over one table, and what backend servers delivered in truth."""
 
-    def __init__(self, prepaid, seed=1):
+    def __init__(self, prepaid, seed=1, loans=False):
         self.rng = random.Random(seed)
+        self.loans = loans
+        self.peers = {}
         self.table = MemoryTable()
         self.prepaid = prepaid
         self.clients = {}
@@ -117,6 +169,7 @@
     async def start(self, name, feed=True):
         self.lives += 1
         client = Client(self.table, self.rng)
+        self.peers[name] = Peers(self, name)
         router = CustomerBudgets(
             client,
             name,
@@ -125,6 +178,7 @@
             clock=asyncio.get_running_loop().time,
             rng=random.Random(self.rng.random()),
             incarnation=f"{name}.{self.lives}",
+            peers=self.peers[name] if self.loans else None,
         )
         self.clients[name], self.routers[name] = client, router
         await router.open()
@@ -475,6 +529,89 @@
         await router.close()
 
 
+class LoansTest(unittest.TestCase):
+    """Tokens that routers lend each other."""
+
+    async def outage(self, names=("r1", "r2", "r3")):
+        world = World({"acme": PREPAID}, loans=True)
+        for name in names:
+            await world.start(name)
+        await asyncio.sleep(3)
+        for client in world.clients.values():
+            client.out = True
+        self.free = {name: self.held(world, name) for name in names}
+        return world
+
+    def held(self, world, name):
+        return world.routers[name].snapshot()["budgets"]["acme"]["free"]
+
+    @in_virtual_time
+    async def test_spends_what_all_hold_while_the_store_is_out(self):
+        world = await self.outage()
+        whole = sum(self.free.values())
+        self.assertGreater(whole, self.free["r1"] * 2)
+        error = await world.request("r1", "acme", whole, whole - 10, 0.2, wait=0.5)
+        self.assertIsNone(error)
+        await asyncio.sleep(0.5)
+        left = sum(self.held(world, name) for name in world.routers)
+        self.assertEqual(left, 10)
+        error = await world.request("r2", "acme", 11, 1, 0.2, wait=0.5)
+        self.assertIsInstance(error, OverloadError)
+        self.assertEqual(sum(self.held(world, name) for name in world.routers), 10)
+        for client in world.clients.values():
+            client.out = False
+        await world.stop()
+        self.assertEqual(world.row().settled, whole - 10)
+        self.assertEqual(world.row().allotments, {})
+
+    @in_virtual_time
+    async def test_attempt_that_did_not_run_gives_all_back(self):
+        world = await self.outage()
+        whole = sum(self.free.values())
+        self.assertIsNone(await world.request("r1", "acme", whole, None, 0.2))
+        await asyncio.sleep(0.5)
+        held = {name: self.held(world, name) for name in world.routers}
+        self.assertEqual(held, self.free)
+        await world.stop()
+
+    @in_virtual_time
+    async def test_loan_to_a_router_that_died_counts_as_spent(self):
+        world = await self.outage()
+        tokens = self.free["r1"] + 300
+        asyncio.ensure_future(world.request("r1", "acme", tokens, tokens, 30.0))
+        await asyncio.sleep(0.5)
+        await world.kill("r1")
+        for client in world.clients.values():
+            client.out = False
+        await asyncio.sleep(200)
+        self.assertGreaterEqual(world.row().settled, 300)
+        held = sum(len(r.lender) for r in world.routers.values())
+        self.assertEqual(held, 0)
+        world.check()
+        self.assertEqual(world.overspent, [])
+        await world.stop()
+
+    @in_virtual_time
+    async def test_withdrawal_that_overtakes_its_loan_holds_nothing(self):
+        world = await self.outage()
+        lender = world.routers["r2"].lender
+        lender.repay("r1.1/9", 0)
+        self.assertEqual(lender.lend(Loan("r1.1/9", "acme", 10)), 0)
+        self.assertEqual(self.held(world, "r2"), self.free["r2"])
+        await world.stop()
+
+    @in_virtual_time
+    async def test_loan_asked_twice_is_lent_once(self):
+        world = await self.outage()
+        lender = world.routers["r2"].lender
+        loan = Loan("r1.1/9", "acme", 10)
+        self.assertEqual([lender.lend(loan), lender.lend(loan)], [10, 10])
+        lender.repay(loan.name, 4)
+        lender.repay(loan.name, 4)
+        self.assertEqual(self.held(world, "r2"), self.free["r2"] - 4)
+        await world.stop()
+
+
 class Trace:
     """A random run of two routers with faults of every kind."""
 
@@ -483,7 +620,9 @@
     def __init__(self, seed, kills=True):
         self.rng = random.Random(seed)
         self.kills = kills
-        self.world = World({"acme": 6_000, "bolt": 2_500}, seed)
+        self.world = World(
+            {"acme": 6_000, "bolt": 2_500}, seed, loans=self.rng.random() < 0.6
+        )
         self.false_402 = []
 
     def run(self):
@@ -502,6 +641,8 @@
             client.awake.set()
             client.out = False
             client.lose = client.late = 0.0
+        for peers in world.peers.values():
+            peers.lose = peers.late = 0.0
         await asyncio.gather(*requests)
         await asyncio.sleep(6)
         world.check()
@@ -533,8 +674,10 @@
             client.awake.clear() if client.awake.is_set() else client.awake.set()
         elif kind < 0.92:
             client.lose = rng.choice((0.0, 0.5))
+            world.peers[name].lose = rng.choice((0.0, 0.3))
         elif kind < 0.98:
             client.late = rng.choice((0.0, 0.5))
+            world.peers[name].late = rng.choice((0.0, 0.3))
         else:
             world.prepaid[rng.choice(("acme", "bolt"))] += rng.randrange(1_000)
 
@@ -559,6 +702,9 @@
     def overspends(self, seeds):
         return [seed for seed in seeds if Trace(seed).run()]
 
+    def some_overspend(self):
+        return any(Trace(seed).run() for seed in range(300))
+
     def test_no_trace_overspends(self):
         self.assertEqual(self.overspends(range(300)), [])
 
@@ -570,7 +716,7 @@
 
     def test_counting_nothing_for_the_dead_overspends(self):
         with mock.patch.object(Predecessors, "_spent_at_most", lambda *_: 0):
-            self.assertTrue(self.overspends(range(40)))
+            self.assertTrue(self.some_overspend())
 
     def test_taking_an_unanswered_return_as_undone_overspends(self):
         resolve = Journal._resolve
@@ -581,7 +727,7 @@
             return resolve(journal, row)
 
         with mock.patch.object(Journal, "_resolve", forget):
-            self.assertTrue(self.overspends(range(40)))
+            self.assertTrue(self.some_overspend())
 
     def test_what_is_on_its_way_back_is_not_spent(self):
         self.assertEqual(run_virtual(self._spend_what_returns()), [])
