--- a/bluebellshore/emulator/engine.py
+++ b/bluebellshore/emulator/engine.py
@@ -46,10 +46,10 @@
 
     slots: int = 32
     queue: int = 64
-    step_seconds: float = 0.008
+    step_seconds: float = 0.006
     running_seconds: float = 0.000_03
     context_seconds: float = 2e-8
-    prefill_tokens: float = 30_000.0
+    prefill_tokens: float = 40_000.0
     pair_seconds: float = 6e-10
     chunk_tokens: int = 4096
     event_tokens: int = 3
--- /dev/null
+++ b/bluebellshore/emulator/measures.py
@@ -0,0 +1,78 @@
+"""What callers saw in a trial."""
+
+from collections import Counter, defaultdict
+from enum import Enum
+
+import msgspec
+
+from bluebellshore.emulator.traces import Arrival
+from bluebellshore.experiments.report import percentile
+
+__all__ = ["Measures", "Outcome"]
+
+
+class Outcome(Enum):
+    """How a request ended for its caller."""
+
+    IN_TIME = "in time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Measures(msgspec.Struct):
+    """Counts of a trial.
+
+    :param read_again: shared tokens that were read though an engine held them.
+    :param held_seconds: times for which refused requests were held.
+    """
+
+    outcomes: Counter[Outcome] = msgspec.field(default_factory=Counter)
+    by_kind: dict[str, Counter[Outcome]] = msgspec.field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    by_customer: dict[str, Counter[Outcome]] = msgspec.field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    first_event_seconds: list[float] = msgspec.field(default_factory=list)
+    longest_pauses: list[float] = msgspec.field(default_factory=list)
+    held_seconds: list[float] = msgspec.field(default_factory=list)
+    read_again: int = 0
+    read: int = 0
+    repeats: int = 0
+    sends: int = 0
+
+    def note(self, arrival: Arrival, outcome: Outcome) -> None:
+        """Count a request that ended."""
+        self.outcomes[outcome] += 1
+        self.by_kind[arrival.kind.route.name][outcome] += 1
+        self.by_customer[arrival.customer][outcome] += 1
+
+    def share(self, outcome: Outcome) -> float:
+        """Return the share of all requests."""
+        return self.outcomes[outcome] / max(1, self.outcomes.total())
+
+    def kind_share(self, name: str) -> float:
+        """Return the share of a kind that was served in time."""
+        counts = self.by_kind[name]
+        return counts[Outcome.IN_TIME] / max(1, counts.total())
+
+    def customer_share(self, name: str) -> float:
+        """Return the share of a customer's requests that was served in time."""
+        counts = self.by_customer[name]
+        return counts[Outcome.IN_TIME] / max(1, counts.total())
+
+    @property
+    def worst_customer_share(self) -> float:
+        """The least of the customers' shares."""
+        return min(self.customer_share(name) for name in self.by_customer)
+
+    @property
+    def first_event_p95(self) -> float:
+        """Time to the first event that 95 in 100 keep, in seconds."""
+        return percentile(self.first_event_seconds, 0.95)
+
+    @property
+    def pause_p99(self) -> float:
+        """Longest pause that 99 in 100 streams keep, in seconds."""
+        return percentile(self.longest_pauses, 0.99)
--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -1,14 +1,22 @@
-"""What each backend server is known to have in hand."""
+"""What each backend server is known to have in hand.
+
+Answers the load pattern in which many routers send to the same engines and each sees
+the others' work late: own attempts count at once, peers' by their reports, less what
+was read since.
+"""
 
 import itertools
 from collections.abc import Iterable
-from enum import Enum
 from typing import NewType
 
 import msgspec
 
-from bluebellshore.fleet import BackendServer, Call
-from bluebellshore.ids import BackendServerId, IncarnationId, PartId
+from bluebellshore.fleet import BackendServer, Call, Service
+from bluebellshore.ids import BackendServerId, IncarnationId, PartId, ServiceName
+from bluebellshore.routing.parts import HeldParts
+from bluebellshore.routing.results import Result, ResultCounts
+from bluebellshore.routing.speed import FirstEventSample, SpeedBook
+from bluebellshore.routing.suspicion import Suspicion
 
 __all__ = [
     "LoadBook",
@@ -24,38 +32,18 @@
 #: A peer's report is dropped after this long without a newer one. Peers report
 #: several times a second.
 REPORT_SECONDS = 2.0
-#: Prompt parts remembered for each backend server.
-PARTS_REMEMBERED = 4096
 #: Prompt parts of own attempts kept for the next report to peers.
 PARTS_REPORTED = 256
 
 
-class Result(Enum):
-    """How an attempt ended."""
-
-    #: A whole answer, whatever its status below 500.
-    ANSWERED = "answered"
-    #: The backend server's own failure.
-    FAILED = "failed"
-    #: It says that it did not run the request.
-    REFUSED = "refused"
-    #: No connection could be made.
-    UNREACHABLE = "unreachable"
-    #: The connection broke, or the answer was not one.
-    BROKEN = "broken"
-    #: Nothing came in time.
-    TIMED_OUT = "timed-out"
-    #: The caller left first.
-    LEFT = "left"
-
-
 class ServerLoad(msgspec.Struct):
     """Work in hand at one backend server.
 
     :param running: requests sent and not ended.
     :param prefill_tokens: prompt tokens of those that showed no event yet, without
         what was expected to be cached.
-    :param held_tokens: tokens of memory that running requests hold at most.
+    :param held_tokens: tokens of memory that running requests hold at most, without
+        what was expected to be cached.
     """
 
     running: int = 0
@@ -74,6 +62,7 @@
 
     server_id: BackendServerId
     part_id: PartId
+    tokens: int = 0
 
 
 class LoadReport(msgspec.Struct):
@@ -81,109 +70,176 @@
 
     :param loads_by_server: work that it has in hand; idle servers are left out.
     :param parts: parts that servers have read since the last report.
+    :param results_by_server: how attempts ended since the last report.
     """
 
     loads_by_server: dict[BackendServerId, ServerLoad] = msgspec.field(
         default_factory=dict
     )
     parts: list[PartSeen] = msgspec.field(default_factory=list)
+    results_by_server: dict[BackendServerId, ResultCounts] = msgspec.field(
+        default_factory=dict
+    )
 
 
 class _Attempt(msgspec.Struct):
     server_id: BackendServerId
+    service: ServiceName
     load: ServerLoad
     call: Call
     began_at: float
+    read_tokens: int
+    ahead_tokens: int
+    new_parts: list[PartId]
     first_event_at: float | None = None
 
 
-class _Parts:
-    """Prompt parts read by one backend server, the latest last."""
-
-    def __init__(self) -> None:
-        self._seen_at: dict[PartId, float] = {}
-
-    def add(self, part_id: PartId, now: float) -> None:
-        self._seen_at.pop(part_id, None)
-        self._seen_at[part_id] = now
-        if len(self._seen_at) > PARTS_REMEMBERED:
-            del self._seen_at[next(iter(self._seen_at))]
-
-    def __contains__(self, part_id: PartId) -> bool:
-        return part_id in self._seen_at
-
-
 class LoadBook:
     """Own attempts at once, those of peers as they report them.
 
     Every method takes `now` in monotonic seconds.
+
+    :param suspicion: told of attempts that stay without an event; its counts go to
+        peers with the reports.
+    :ivar speeds: what was learned of the speed of services and servers.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, suspicion: Suspicion | None = None) -> None:
+        self.speeds = SpeedBook()
+        self._suspicion = suspicion
+        self._services_by_name: dict[ServiceName, Service] = {}
+        self._service_by_server: dict[BackendServerId, ServiceName] = {}
         self._numbers = itertools.count(1)
         self._attempts_by_ticket: dict[Ticket, _Attempt] = {}
+        self._unconfirmed: list[Ticket] = []
         self._own_by_server: dict[BackendServerId, ServerLoad] = {}
         self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
-        self._parts_by_server: dict[BackendServerId, _Parts] = {}
+        self._parts_by_server: dict[BackendServerId, HeldParts] = {}
         self._new_parts: list[PartSeen] = []
 
+    def configure(self, services: Iterable[Service]) -> None:
+        """Take in what services are; engines' memory bounds what they cache."""
+        self._services_by_name = {service.name: service for service in services}
+
+    def service_of(self, name: ServiceName) -> Service | None:
+        """Return a service as configured."""
+        return self._services_by_name.get(name)
+
+    def introduce(self, server: BackendServer) -> None:
+        """Learn which service a server belongs to."""
+        if server.server_id not in self._service_by_server:
+            self._service_by_server[server.server_id] = server.service
+
     def begin(self, call: Call, server: BackendServer, now: float) -> Ticket:
         """Count an attempt that is about to be sent."""
-        missing = call.prompt_tokens - self.cached_tokens(call, server.server_id)
-        load = ServerLoad(1, max(0, missing), call.most_tokens)
+        self._confirm(now)
+        server_id = server.server_id
+        self.introduce(server)
+        cached = self.cached_tokens(call, server_id)
+        missing = max(0, call.prompt_tokens - cached)
+        ahead = self.load_of(server_id, now).prefill_tokens
+        load = ServerLoad(1, missing, max(0, call.most_tokens - cached))
+        new = [part for part in call.prompt if self._see(server_id, *part)]
         ticket = Ticket(next(self._numbers))
-        attempt = _Attempt(server.server_id, load, call, now)
-        self._attempts_by_ticket[ticket] = attempt
-        self._own(server.server_id).add(load)
-        for part in call.prompt:
-            self._see(PartSeen(server.server_id, part.part_id), now)
-            self._new_parts.append(PartSeen(server.server_id, part.part_id))
+        self._attempts_by_ticket[ticket] = _Attempt(
+            server_id,
+            server.service,
+            load,
+            call,
+            now,
+            missing,
+            ahead,
+            [part.part_id for part in new],
+        )
+        self._own(server_id).add(load)
+        self._new_parts += [PartSeen(server_id, *part) for part in call.prompt]
         del self._new_parts[:-PARTS_REPORTED]
+        if self._suspicion is not None:
+            expected = self.speeds.seconds(server.service, missing + ahead)
+            self._suspicion.begin(ticket, server_id, expected, now)
         return ticket
 
     def first_event(self, ticket: Ticket, now: float) -> float:
         """Note that the prompt was read. :return: seconds that it took."""
         attempt = self._attempts_by_ticket[ticket]
         if attempt.first_event_at is None:
+            self._confirm(now)
             attempt.first_event_at = now
             self._own(attempt.server_id).prefill_tokens -= attempt.load.prefill_tokens
             attempt.load.prefill_tokens = 0
+            self._unconfirmed.append(ticket)
+            self.progress(ticket, now)
         return attempt.first_event_at - attempt.began_at
 
-    def end(self, ticket: Ticket, result: Result, now: float) -> None:
-        """Forget an attempt that ended."""
+    def progress(self, ticket: Ticket, now: float) -> None:
+        """Note a further event of a stream."""
+        if self._suspicion is not None:
+            self._suspicion.event(ticket, now)
+
+    def end(
+        self, ticket: Ticket, result: Result, now: float, output_tokens: int = 0
+    ) -> None:
+        """Forget an attempt that ended.
+
+        :param output_tokens: tokens that it made; a session's next prompt has them in
+            its last part.
+        """
         attempt = self._attempts_by_ticket.pop(ticket)
         self._own(attempt.server_id).add(attempt.load, sign=-1)
+        if result is Result.ANSWERED:
+            if ticket in self._unconfirmed:
+                self._learn(attempt, now)
+            if output_tokens and attempt.call.prompt:
+                part_id, tokens = attempt.call.prompt[-1]
+                self._see(attempt.server_id, part_id, tokens + output_tokens)
+                seen = PartSeen(attempt.server_id, part_id, tokens + output_tokens)
+                self._new_parts.append(seen)
+        elif result is not Result.LEFT and not self._had_event(attempt, now):
+            self._unsee(attempt)
+        if ticket in self._unconfirmed:
+            self._unconfirmed.remove(ticket)
+        if self._suspicion is not None:
+            self._suspicion.forget(ticket)
 
     def load_of(self, server_id: BackendServerId, now: float) -> ServerLoad:
-        """Return all work known to be in hand at a backend server."""
+        """Return all work known to be in hand at a backend server.
+
+        Peers' prompts are read on after their report: what the server read in that
+        time is taken off.
+        """
         total = ServerLoad()
         total.add(self._own(server_id))
+        speed = 0.0
         for received_at, report in self._reports.values():
             load = report.loads_by_server.get(server_id)
-            if load is not None and now - received_at < REPORT_SECONDS:
-                total.add(load)
+            if load is None or now - received_at >= REPORT_SECONDS:
+                continue
+            speed = speed or self._tokens_per_second(server_id)
+            read = int(speed * (now - received_at))
+            total.running += load.running
+            total.prefill_tokens += max(0, load.prefill_tokens - read)
+            total.held_tokens += load.held_tokens
         return total
 
     def cached_tokens(self, call: Call, server_id: BackendServerId) -> int:
         """Return the tokens of the prompt that a backend server seems to hold."""
         parts = self._parts_by_server.get(server_id)
-        if parts is None:
-            return 0
-        held = itertools.takewhile(lambda part: part.part_id in parts, call.prompt)
-        return sum(part.tokens for part in held)
+        return 0 if parts is None else parts.cached_tokens(call.prompt)
 
     def report(self) -> LoadReport:
-        """Return what peers are told; parts are told once."""
+        """Return what peers are told; parts and results are told once."""
         parts, self._new_parts = self._new_parts, []
         loads = {key: load for key, load in self._own_by_server.items() if load.running}
-        return LoadReport(loads, parts)
+        results = {} if self._suspicion is None else self._suspicion.take_counts()
+        return LoadReport(loads, parts, results)
 
     def merge(self, peer: IncarnationId, report: LoadReport, now: float) -> None:
         """Take in a peer's report."""
         self._reports[peer] = (now, report)
         for part in report.parts:
-            self._see(part, now)
+            self._see(part.server_id, part.part_id, part.tokens)
+        if self._suspicion is not None:
+            self._suspicion.merge(report.results_by_server, now)
         for other, (received_at, _) in list(self._reports.items()):
             if now - received_at >= REPORT_SECONDS:
                 del self._reports[other]
@@ -192,10 +248,56 @@
         """Drop what backend servers held that are gone or began anew."""
         for server_id in server_ids:
             self._parts_by_server.pop(server_id, None)
+            self.speeds.forget(server_id)
+            if self._suspicion is not None:
+                self._suspicion.renew(server_id)
+            own = self._own_by_server.get(server_id)
+            if own is not None and not own.running:
+                del self._own_by_server[server_id]
+                self._service_by_server.pop(server_id, None)
 
     def _own(self, server_id: BackendServerId) -> ServerLoad:
         return self._own_by_server.setdefault(server_id, ServerLoad())
 
-    def _see(self, seen: PartSeen, now: float) -> None:
-        parts = self._parts_by_server.setdefault(seen.server_id, _Parts())
-        parts.add(seen.part_id, now)
+    def _see(self, server_id: BackendServerId, part_id: PartId, tokens: int) -> bool:
+        parts = self._parts_by_server.get(server_id)
+        if parts is None:
+            service = self._services_by_name.get(self._service_by_server.get(server_id))
+            engine = None if service is None else service.engine
+            parts = HeldParts(0 if engine is None else engine.cache_tokens)
+            self._parts_by_server[server_id] = parts
+        return parts.add(part_id, tokens)
+
+    def _unsee(self, attempt: _Attempt) -> None:
+        """Take back parts that an attempt was to read and did not."""
+        parts = self._parts_by_server.get(attempt.server_id)
+        for part_id in attempt.new_parts if parts is not None else ():
+            parts.discard(part_id)
+
+    def _had_event(self, attempt: _Attempt, now: float) -> bool:
+        return attempt.first_event_at is not None and attempt.first_event_at < now
+
+    def _tokens_per_second(self, server_id: BackendServerId) -> float:
+        return self.speeds.tokens_per_second(self._service_by_server.get(server_id, ""))
+
+    def _confirm(self, now: float) -> None:
+        """Learn from first events whose attempts lived on after them.
+
+        The end of an attempt that failed is reported as its first event too, at the
+        same moment.
+        """
+        for ticket in list(self._unconfirmed):
+            attempt = self._attempts_by_ticket[ticket]
+            if attempt.first_event_at < now:
+                self._unconfirmed.remove(ticket)
+                self._learn(attempt, now)
+
+    def _learn(self, attempt: _Attempt, now: float) -> None:
+        sample = FirstEventSample(
+            attempt.server_id,
+            attempt.service,
+            attempt.read_tokens,
+            attempt.ahead_tokens,
+            attempt.first_event_at - attempt.began_at,
+        )
+        self.speeds.note(sample, now)
--- a/bluebellshore/routing/placement.py
+++ b/bluebellshore/routing/placement.py
@@ -11,21 +11,34 @@
 import msgspec
 import xxhash
 
-from bluebellshore.fleet import BackendServer, Call
+from bluebellshore.fleet import BackendServer, Call, PromptPart
 from bluebellshore.ids import BackendServerId, ZoneName
-from bluebellshore.routing.load import LoadBook
+from bluebellshore.routing.load import LoadBook, ServerLoad
 
-__all__ = ["Place", "Placer", "Refuse", "Wait"]
+__all__ = ["Option", "Place", "Placer", "Refuse", "Wait"]
 
-#: Prompt tokens that an engine reads in a second until its speed is known. Low, so
-#: that a router that has just started spreads rather than piles up.
-PREFILL_TOKENS_PER_SECOND = 20_000.0
-#: Expected delay that one more running request adds to those beside it, in seconds.
-RUNNING_SECONDS = 0.004
+#: Expected delay of a first event when all slots are taken, in seconds.
+FULL_SECONDS = 0.1
+#: Weight of the delay that reading this prompt puts on each request beside it.
+BESIDE_WEIGHT = 0.02
+#: Weight of reading again what another server holds, beyond the delay of it.
+REREAD_WEIGHT = 1.0
 #: Preference for the own availability zone, in seconds.
 ZONE_SECONDS = 0.002
-#: Preference for the home of a prompt's first part among equals, in seconds.
-HOME_SECONDS = 0.020
+#: Preference for the home of a prompt's shared parts, in seconds.
+HOME_SECONDS = 0.05
+#: Spread of choices between equals, in seconds, so that many routers that read the
+#: same report don't all choose the same server.
+SPREAD_SECONDS = 0.004
+#: Part of the objective that unread prompts may take at an engine before a request of
+#: the highest urgency, and what each step down in urgency takes off.
+BACKLOG_SHARE = 0.6
+BACKLOG_STEP = 0.1
+LEAST_BACKLOG_SHARE = 0.3
+#: Time after which a caller may come back when no server is known or usable.
+NO_SERVER_RETRY_SECONDS = 0.5
+#: Time after which a request larger than every engine may come back: never helps.
+TOO_LARGE_RETRY_SECONDS = 30.0
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -56,6 +69,22 @@
     retry_after_seconds: float
 
 
+class Option(msgspec.Struct, frozen=True):
+    """A server that may be chosen.
+
+    :param expected_seconds: expected time to the first event.
+    :param backlog_seconds: part of it that others' prompts take.
+    :param read_seconds: part of it that this prompt takes.
+    """
+
+    server: BackendServer
+    load: ServerLoad
+    cached_tokens: int
+    expected_seconds: float
+    backlog_seconds: float
+    read_seconds: float
+
+
 class Placer:
     """Places by the full cost: reading what is not cached, behind what waits.
 
@@ -76,32 +105,121 @@
         """Choose one of `candidates` that is not excluded."""
         usable = [c for c in candidates if c.server_id not in exclude]
         if not usable:
-            return Refuse("no backend server", 0.5)
-        roomy = [c for c in usable if self._has_room(c, now)]
+            return Refuse("no backend server", NO_SERVER_RETRY_SECONDS)
+        if self._is_too_large(call, usable[0]):
+            return Refuse("larger than any engine's memory", TOO_LARGE_RETRY_SECONDS)
+        options = [self._option(call, server, now) for server in usable]
+        roomy = [option for option in options if self._has_room(call, option)]
         if not roomy:
             return Wait("all backend servers are full")
-        return min(
-            (self._option(call, server, now) for server in roomy),
-            key=lambda option: self._cost(call, option),
-        )
-
-    def _has_room(self, server: BackendServer, now: float) -> bool:
-        return self._book.load_of(server.server_id, now).running < server.slots
-
-    def _option(self, call: Call, server: BackendServer, now: float) -> Place:
+        if call.prompt:
+            roomy = [option for option in roomy if self._is_soon(call, option)]
+            if not roomy:
+                return Wait("too many prompts wait to be read")
+            option = self.choose_engine(call, candidates, roomy)
+        else:
+            option = self.choose_plain(call, roomy)
+        return Place(option.server, option.expected_seconds, option.cached_tokens)
+
+    def choose_engine(
+        self,
+        call: Call,
+        candidates: Sequence[BackendServer],
+        options: Sequence[Option],
+    ) -> Option:
+        """Choose the option of least cost to this request and to those beside it."""
+        homes = _homes(call, candidates)
+        most_cached = max(option.cached_tokens for option in options)
+
+        def cost(option: Option) -> float:
+            load = option.load
+            again = max(
+                0, min(most_cached, _shared_tokens(call)) - option.cached_tokens
+            )
+            service = option.server.service
+            reread = again / self._book.speeds.tokens_per_second(service)
+            return (
+                option.expected_seconds
+                + BESIDE_WEIGHT * load.running * option.read_seconds
+                + REREAD_WEIGHT * reread
+                + HOME_SECONDS * homes.get(option.server.server_id, 1.0)
+                + self._tie_break(call, option.server)
+            )
+
+        return min(options, key=cost)
+
+    def choose_plain(self, call: Call, options: Sequence[Option]) -> Option:
+        """Choose the least loaded server of a plain service."""
+
+        def cost(option: Option) -> float:
+            busy = option.load.running / max(1, option.server.slots)
+            return busy + self._tie_break(call, option.server)
+
+        return min(options, key=cost)
+
+    def _option(self, call: Call, server: BackendServer, now: float) -> Option:
+        self._book.introduce(server)
+        speeds = self._book.speeds
         load = self._book.load_of(server.server_id, now)
         cached = self._book.cached_tokens(call, server.server_id)
-        to_read = load.prefill_tokens + call.prompt_tokens - cached
-        seconds = to_read / PREFILL_TOKENS_PER_SECOND
-        seconds += load.running / server.slots * RUNNING_SECONDS * 64
-        return Place(server, seconds, cached)
-
-    def _cost(self, call: Call, option: Place) -> float:
-        cost = option.expected_seconds
-        if option.server.zone != self._zone:
-            cost += ZONE_SECONDS
-        if call.prompt:
-            seed = call.prompt[0].part_id
-            key = f"{seed}/{option.server.server_id}".encode()
-            cost += HOME_SECONDS * xxhash.xxh32_intdigest(key) / 2**32
-        return cost
+        slowness = speeds.slowness(server.service, server.server_id, now)
+        token_seconds = slowness / speeds.tokens_per_second(server.service)
+        backlog = load.prefill_tokens * token_seconds
+        read = max(0, call.prompt_tokens - cached) * token_seconds
+        base = slowness * speeds.seconds(server.service, 0)
+        busy = FULL_SECONDS * load.running / max(1, server.slots)
+        expected = base + busy + backlog + read
+        return Option(server, load, cached, expected, backlog, read)
+
+    def _is_too_large(self, call: Call, server: BackendServer) -> bool:
+        memory = self._memory_of(server)
+        return bool(memory) and call.most_tokens > memory
+
+    def _memory_of(self, server: BackendServer) -> int:
+        service = self._book.service_of(server.service)
+        engine = None if service is None else service.engine
+        return 0 if engine is None else engine.cache_tokens
+
+    def _has_room(self, call: Call, option: Option) -> bool:
+        load = option.load
+        if load.running >= option.server.slots:
+            return False
+        memory = self._memory_of(option.server)
+        if not memory or not load.running:
+            return True
+        return load.held_tokens + call.most_tokens - option.cached_tokens <= memory
+
+    def _is_soon(self, call: Call, option: Option) -> bool:
+        """Whether the engine's backlog leaves the request its objective."""
+        share = max(LEAST_BACKLOG_SHARE, BACKLOG_SHARE - BACKLOG_STEP * call.priority)
+        limit = share * call.route.objective_seconds
+        return not option.load.prefill_tokens or option.backlog_seconds <= limit
+
+    def _tie_break(self, call: Call, server: BackendServer) -> float:
+        key = f"{call.attempt_id}/{server.server_id}".encode()
+        cost = SPREAD_SECONDS * xxhash.xxh32_intdigest(key) / 2**32
+        return cost if server.zone == self._zone else cost + ZONE_SECONDS
+
+
+def _shared_parts(call: Call) -> tuple[PromptPart, ...]:
+    """Return the parts that other requests have too; the last is the request's own."""
+    return call.prompt[:-1] or call.prompt
+
+
+def _shared_tokens(call: Call) -> int:
+    return sum(part.tokens for part in _shared_parts(call))
+
+
+def _homes(
+    call: Call, candidates: Sequence[BackendServer]
+) -> dict[BackendServerId, float]:
+    """Return the first two homes of the shared parts, by rendezvous.
+
+    All routers agree on them without having seen one another's work.
+    """
+    seed = _shared_parts(call)[-1].part_id
+    ranked = sorted(
+        candidates,
+        key=lambda s: xxhash.xxh32_intdigest(f"{seed}/{s.server_id}".encode()),
+    )
+    return dict(zip((s.server_id for s in ranked), (0.0, 0.5), strict=False))
--- /dev/null
+++ b/bluebellshore/routing/results.py
@@ -0,0 +1,39 @@
+"""How attempts end, and counts of it that routers exchange."""
+
+from enum import Enum
+
+import msgspec
+
+__all__ = ["Result", "ResultCounts"]
+
+
+class Result(Enum):
+    """How an attempt ended."""
+
+    #: A whole answer, whatever its status below 500.
+    ANSWERED = "answered"
+    #: The backend server's own failure.
+    FAILED = "failed"
+    #: It says that it did not run the request.
+    REFUSED = "refused"
+    #: No connection could be made.
+    UNREACHABLE = "unreachable"
+    #: The connection broke, or the answer was not one.
+    BROKEN = "broken"
+    #: Nothing came in time.
+    TIMED_OUT = "timed-out"
+    #: The caller left first.
+    LEFT = "left"
+
+
+class ResultCounts(msgspec.Struct):
+    """Results of one server.
+
+    :param good: answers.
+    :param bad: failures of any kind.
+    :param lost: those among them that show a server which is gone or silent.
+    """
+
+    good: float = 0.0
+    bad: float = 0.0
+    lost: float = 0.0
--- /dev/null
+++ b/bluebellshore/routing/speed.py
@@ -0,0 +1,162 @@
+"""Learns how soon backend servers begin to answer.
+
+Answers the load pattern in which services differ in speed and some servers turn slow:
+a fixed speed lets a router pile prompts on engines that read slowly, or spread shared
+parts over engines that would have read them in no time.
+"""
+
+import statistics
+from collections import deque
+
+import msgspec
+
+from bluebellshore.ids import BackendServerId, ServiceName
+
+__all__ = ["FirstEventSample", "SpeedBook"]
+
+#: Prompt tokens read in a second until the speed is known. Low, so that a router that
+#: has just started spreads rather than piles up.
+START_TOKENS_PER_SECOND = 20_000.0
+#: Time to the first event of an empty prompt until it is known.
+START_BASE_SECONDS = 0.05
+#: Samples kept of each service, and those needed for a fit.
+SAMPLES = 128
+LEAST_SAMPLES = 12
+#: New samples between two fits.
+FIT_INTERVAL = 8
+#: Prompt sizes must differ by this many tokens to tell reading from the base time.
+LEAST_SPREAD_TOKENS = 300
+#: Bounds of a learned speed, in tokens a second.
+MIN_TOKENS_PER_SECOND = 500.0
+MAX_TOKENS_PER_SECOND = 1_000_000.0
+#: Newest samples of a server that are compared with its peers', and how long they
+#: count, in seconds.
+RATIOS = 9
+LEAST_RATIOS = 3
+RATIO_SECONDS = 10.0
+#: Slowness below which servers count as equal, and its upper bound.
+EQUAL_SLOWNESS = 1.5
+MAX_SLOWNESS = 8.0
+
+
+class FirstEventSample(msgspec.Struct, frozen=True):
+    """One observed time to a first event.
+
+    :param read_tokens: prompt tokens that had to be read.
+    :param ahead_tokens: tokens of other prompts that were known to wait before it.
+    """
+
+    server_id: BackendServerId
+    service: ServiceName
+    read_tokens: int
+    ahead_tokens: int
+    seconds: float
+
+
+class _Fit:
+    """Base time and time per token of one service, from medians."""
+
+    def __init__(self) -> None:
+        self.base_seconds = START_BASE_SECONDS
+        self.token_seconds = 1 / START_TOKENS_PER_SECOND
+        self._samples: deque[tuple[int, float]] = deque(maxlen=SAMPLES)
+        self._new = 0
+
+    def add(self, tokens: int, seconds: float) -> None:
+        self._samples.append((tokens, seconds))
+        self._new += 1
+        if self._new >= FIT_INTERVAL and len(self._samples) >= LEAST_SAMPLES:
+            self._new = 0
+            self._fit()
+
+    def _fit(self) -> None:
+        ordered = sorted(self._samples)
+        third = len(ordered) // 3
+        small, large = ordered[:third], ordered[-third:]
+        small_tokens, small_seconds = _medians(small)
+        large_tokens, large_seconds = _medians(large)
+        spread = large_tokens - small_tokens
+        if spread >= LEAST_SPREAD_TOKENS:
+            slope = (large_seconds - small_seconds) / spread
+            self.token_seconds = min(
+                max(slope, 1 / MAX_TOKENS_PER_SECOND), 1 / MIN_TOKENS_PER_SECOND
+            )
+        rests = [seconds - tokens * self.token_seconds for tokens, seconds in ordered]
+        self.base_seconds = max(0.0, statistics.median(rests))
+
+
+class SpeedBook:
+    """Speeds of services, and servers that are slower than their peers.
+
+    Only first events before which nothing was known to wait teach the speed. Medians
+    keep single slow servers and unseen work of peers from moving it.
+    """
+
+    def __init__(self) -> None:
+        self._fits: dict[ServiceName, _Fit] = {}
+        self._ratios: dict[
+            ServiceName, dict[BackendServerId, deque[tuple[float, float]]]
+        ] = {}
+
+    def note(self, sample: FirstEventSample, now: float) -> None:
+        """Learn from a first event."""
+        expected = self.seconds(
+            sample.service, sample.read_tokens + sample.ahead_tokens
+        )
+        if expected > 0:
+            by_server = self._ratios.setdefault(sample.service, {})
+            ratios = by_server.setdefault(sample.server_id, deque(maxlen=RATIOS))
+            ratios.append((now, sample.seconds / expected))
+        if not sample.ahead_tokens:
+            fit = self._fits.setdefault(sample.service, _Fit())
+            fit.add(sample.read_tokens, sample.seconds)
+
+    def seconds(self, service: ServiceName, tokens: float) -> float:
+        """Return the expected time to a first event after reading `tokens`."""
+        fit = self._fits.get(service)
+        if fit is None:
+            return START_BASE_SECONDS + tokens / START_TOKENS_PER_SECOND
+        return fit.base_seconds + tokens * fit.token_seconds
+
+    def tokens_per_second(self, service: ServiceName) -> float:
+        """Return the speed at which a service's engines read prompts."""
+        fit = self._fits.get(service)
+        return START_TOKENS_PER_SECOND if fit is None else 1 / fit.token_seconds
+
+    def slowness(
+        self, service: ServiceName, server_id: BackendServerId, now: float
+    ) -> float:
+        """Return how many times slower a server is than its peers, at least 1."""
+        by_server = self._ratios.get(service, {})
+        own = _recent(by_server.get(server_id), now)
+        if own is None:
+            return 1.0
+        others = [
+            ratio
+            for other, ratios in by_server.items()
+            if other != server_id and (ratio := _recent(ratios, now)) is not None
+        ]
+        if not others:
+            return 1.0
+        slowness = own / max(statistics.median(others), 1e-6)
+        return min(slowness, MAX_SLOWNESS) if slowness > EQUAL_SLOWNESS else 1.0
+
+    def forget(self, server_id: BackendServerId) -> None:
+        """Drop what was learned of a server that is gone or began anew."""
+        for by_server in self._ratios.values():
+            by_server.pop(server_id, None)
+
+
+def _medians(samples: list[tuple[int, float]]) -> tuple[float, float]:
+    return (
+        statistics.median(tokens for tokens, _ in samples),
+        statistics.median(seconds for _, seconds in samples),
+    )
+
+
+def _recent(ratios: deque[tuple[float, float]] | None, now: float) -> float | None:
+    """Return the median of the ratios that still count, None for too few."""
+    if not ratios:
+        return None
+    values = [ratio for at, ratio in ratios if now - at < RATIO_SECONDS]
+    return statistics.median(values) if len(values) >= LEAST_RATIOS else None
