Queue by urgency, place by learned speeds, leave suspects out, lend tokens

Cause: the entry router waited first come first served, knew no speeds, used every listed server, and let each router spend only its own allotment while the store is out. Wires the queue, the speeds, suspicion and loans in (entry/admission.py, two new calls between routers).

--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -16,15 +16,17 @@
     BackendRequest,
     Outcome,
 )
+from bluebellshore.entry.admission import Admission, Admitted
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
 from bluebellshore.errors import OverloadError, RefusedError, RunState
 from bluebellshore.fleet import BackendServer, Call, RouteKind
 from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
-from bluebellshore.routing.load import LoadBook, Result, Ticket
-from bluebellshore.routing.placement import Place, Placer, Refuse
+from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.repeats import Next, next_step
+from bluebellshore.routing.results import Result
 from bluebellshore.routing.retry_window import RetryWindow
+from bluebellshore.routing.suspicion import Suspicion
 
 __all__ = ["Budgets", "Dispatcher", "fingerprint_of"]
 
@@ -35,10 +37,6 @@
 #: the multiple of its objective below which that is never cut.
 FIRST_TRY_SHARE = 0.45
 FIRST_TRY_OBJECTIVES = 1.6
-#: Poll of a waiting request: other routers' work ends unseen.
-WAIT_POLL_SECONDS = 0.03
-#: Part of the time limit for which a request may wait at the router.
-MAX_WAIT_SHARE = 0.5
 
 
 class Budgets(Protocol):
@@ -64,18 +62,6 @@
         """Return the tokens of a request that did not run."""
 
 
-class Suspicion(Protocol):
-    """Tells which backend servers to leave out."""
-
-    def usable(self, servers: list[BackendServer], now: float) -> list[BackendServer]:
-        """Return those that may be sent requests."""
-
-    def record(
-        self, server_id: BackendServerId, result: Result, seconds: float, now: float
-    ) -> None:
-        """Note how an attempt ended and how long its first event took."""
-
-
 class _Progress:
     """What became of a call so far."""
 
@@ -104,7 +90,7 @@
         *,
         knowledge: Knowledge,
         book: LoadBook,
-        placer: Placer,
+        admission: Admission,
         suspicion: Suspicion,
         backend: Backend,
         budgets: Budgets,
@@ -114,7 +100,7 @@
     ):
         self._knowledge = knowledge
         self._book = book
-        self._placer = placer
+        self._admission = admission
         self._suspicion = suspicion
         self._backend = backend
         self._budgets = budgets
@@ -122,7 +108,6 @@
         self._make_retry_window = retry_window
         self._routers = routers
         self._retries_by_service: dict[ServiceName, RetryWindow] = {}
-        self._freed = asyncio.Event()
         self.active = 0
 
     async def serve(self, call: Call, sink: Sink) -> None:
@@ -189,12 +174,13 @@
         if call.route.kind is RouteKind.STREAM:
             progress.relay = StreamRelay(call, sink)
         while True:
-            place = await self._place(call, service, progress)
             try:
-                await self._attempt(call, place, sink, progress)
+                async with self._admitted(call, service, progress) as admitted:
+                    server = admitted.place.server
+                    await self._attempt(call, admitted, sink, progress)
                 return
             except AttemptError as error:
-                self._note(place.server, error, progress)
+                self._note(server, error, progress)
                 step = next_step(
                     call,
                     error.outcome,
@@ -203,13 +189,13 @@
                     began=progress.began,
                     now=now(),
                 )
-                progress.tried.add(place.server.server_id)
+                progress.tried.add(server.server_id)
                 if step is Next.REPEAT and not retries.allow(now(), self._routers()):
                     step = Next.GIVE_UP
                 eliot.log_message(
                     "attempt_failed",
                     request=call.attempt_id,
-                    server=place.server.server_id,
+                    server=server.server_id,
                     outcome=error.outcome.value,
                     reason=error.message,
                     next=step.value,
@@ -230,50 +216,41 @@
         if error.outcome is Outcome.UNKNOWN:
             progress.may_have_run = True
 
-    async def _place(
+    @contextlib.asynccontextmanager
+    async def _admitted(
         self, call: Call, service: ServiceName, progress: _Progress
-    ) -> Place:
+    ) -> AsyncIterator[Admitted]:
         """Wait until a backend server has room.
 
-        :raises OverloadError: none will have in time.
+        :raises RefusedError: none will have in time.
         """
-        loop = asyncio.get_running_loop()
-        limit = call.received_at + MAX_WAIT_SHARE * (call.deadline - call.received_at)
-        while True:
-            now = loop.time()
-            servers = self._knowledge.servers_of(service, now)
-            usable = self._suspicion.usable(servers, now)
-            decision = self._placer.place(call, usable, now, progress.tried)
-            if isinstance(decision, Refuse) and progress.tried:
-                decision = self._placer.place(call, usable, now)
-            if isinstance(decision, Place):
-                return decision
-            if isinstance(decision, Refuse) or now >= limit:
-                retry_after = getattr(
-                    decision, "retry_after_seconds", RETRY_AFTER_SECONDS
-                )
-                raise _overload(decision.reason, progress, retry_after)
-            self._freed.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(WAIT_POLL_SECONDS):
-                    await self._freed.wait()
+        admission = self._admission.place(call, service, progress.tried)
+        try:
+            admitted = await admission.__aenter__()
+        except OverloadError as error:
+            if progress.may_have_run:
+                error.status, error.run = 502, RunState.UNKNOWN
+                error.retry_after = None
+            raise
+        try:
+            yield admitted
+        finally:
+            await admission.__aexit__(None, None, None)
 
     async def _attempt(
-        self, call: Call, place: Place, sink: Sink, progress: _Progress
+        self, call: Call, admitted: Admitted, sink: Sink, progress: _Progress
     ) -> None:
         """Send a call once and relay its answer.
 
         :raises AttemptError: there is no whole answer.
         """
         loop = asyncio.get_running_loop()
-        began_at = loop.time()
-        server = place.server
-        ticket = self._book.begin(call, server, began_at)
+        server, ticket = admitted.place.server, admitted.ticket
         result, first_seconds = Result.LEFT, 0.0
         try:
-            request = self._request(call, server, progress, began_at)
+            request = self._request(call, server, progress, loop.time())
             async with self._backend.send(server, request) as answer:
-                await self._relay(call, answer, sink, progress, ticket)
+                await self._relay(call, answer, sink, progress, admitted)
             progress.sends += 1
             progress.may_have_run = True
             result = Result.FAILED if answer.status >= 500 else Result.ANSWERED
@@ -282,13 +259,17 @@
             raise
         finally:
             now = loop.time()
-            with contextlib.suppress(KeyError):
+            if result is not Result.LEFT:
                 first_seconds = self._book.first_event(ticket, now)
-            self._book.end(ticket, result, now)
+            self._book.end(ticket, result, now, self._output_tokens(call, progress))
             self._suspicion.record(server.server_id, result, first_seconds, now)
             if result is Result.LEFT:
                 progress.may_have_run = True
-            self._freed.set()
+
+    def _output_tokens(self, call: Call, progress: _Progress) -> int:
+        if progress.relay is None:
+            return 0
+        return progress.relay.events * self._tokens_per_event(call)
 
     def _request(
         self, call: Call, server: BackendServer, progress: _Progress, now: float
@@ -321,18 +302,25 @@
         answer: Answer,
         sink: Sink,
         progress: _Progress,
-        ticket: Ticket,
+        admitted: Admitted,
     ) -> None:
         loop = asyncio.get_running_loop()
+        began = False
 
-        def first_event() -> None:
-            self._book.first_event(ticket, loop.time())
-            self._freed.set()
+        def on_event() -> None:
+            nonlocal began
+            now = loop.time()
+            if not began:
+                began = True
+                self._book.first_event(admitted.ticket, now)
+                self._admission.freed(admitted.place.server.service)
+            else:
+                self._book.progress(admitted.ticket, now)
 
         relay = progress.relay
         if relay is not None and 200 <= answer.status < 300:
             limit = self._first_seconds(call, call.deadline - loop.time(), progress)
-            await relay.run(answer, first_event, limit)
+            await relay.run(answer, on_event, limit)
             return
         if progress.began:
             raise AttemptError(
@@ -378,14 +366,6 @@
     return Result.BROKEN
 
 
-def _overload(reason: str, progress: _Progress, retry_after: float) -> RefusedError:
-    if progress.may_have_run:
-        return RefusedError(
-            reason, step="dispatch.place", status=502, run=RunState.UNKNOWN
-        )
-    return OverloadError(reason, step="dispatch.place", retry_after=retry_after)
-
-
 def _given_up(error: AttemptError, progress: _Progress) -> RefusedError:
     if not progress.may_have_run:
         return OverloadError(
--- a/bluebellshore/entry/knowledge.py
+++ b/bluebellshore/entry/knowledge.py
@@ -1,5 +1,7 @@
 """What a router knows of the platform's rows: the newest that it or a peer saw."""
 
+from collections.abc import Callable
+
 import eliot
 import msgspec
 
@@ -55,6 +57,8 @@
         self._lapsed_until: dict[BackendServerId, float] = {}
         self._doubted_versions: dict[BackendServerId, int] = {}
         self.configuration: Configuration | None = None
+        #: Called with each configuration that comes into force.
+        self.on_configuration: Callable[[Configuration], None] = lambda _: None
         self.servers_by_id: dict[BackendServerId, BackendServer] = {}
         self.orders_by_service: dict[ServiceName, Orders] = {}
         #: Backend servers that began anew or went since the last look.
@@ -175,6 +179,7 @@
             )
             return
         self.configuration = configuration
+        self.on_configuration(configuration)
         eliot.log_message(
             "configuration_in_force",
             number=configuration.number,
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -10,8 +10,18 @@
 import msgspec
 
 from bluebellshore.entry.knowledge import Knowledge
-from bluebellshore.ids import BackendServerId, IncarnationId, InstanceId, PartId
+from bluebellshore.entry.loans import Lender, Loan
+from bluebellshore.errors import LinkError
+from bluebellshore.ids import (
+    BackendServerId,
+    CustomerId,
+    IncarnationId,
+    InstanceId,
+    PartId,
+    Tokens,
+)
 from bluebellshore.routing.load import LoadBook, LoadReport, PartSeen, ServerLoad
+from bluebellshore.routing.results import ResultCounts
 from bluebellshore.store import Row, TableChange
 from bluebellshore.wire import peer_pb2 as pb
 from bluebellshore.wire import peer_pb2_grpc
@@ -87,6 +97,8 @@
         self._channels: dict[str, grpc.aio.Channel] = {}
         self.peers_by_address: dict[str, Peer] = {}
         self.leaving = False
+        #: Lends tokens of this router; None until budgets are open.
+        self.lender: Lender | None = None
         self.meet(seeds)
 
     def meet(self, addresses: list[str] | tuple[str, ...]) -> None:
@@ -124,7 +136,8 @@
             await asyncio.sleep(EXCHANGE_SECONDS * random.uniform(0.8, 1.2))
             now = time.monotonic()
             report = self._book.report()
-            busy = report.loads_by_server or report.parts or self._store_lost()
+            busy = report.loads_by_server or report.parts or report.results_by_server
+            busy = busy or self._store_lost()
             if not busy and now - quiet_since < QUIET_SECONDS:
                 continue
             quiet_since = now
@@ -154,6 +167,60 @@
                 reply.tables.append(_table_rows(table, change))
         return reply
 
+    def reachable(self) -> list[IncarnationId]:
+        """Return the incarnations that gave a sign lately."""
+        return [peer.incarnation for peer in self.alive() if peer.incarnation]
+
+    async def borrow(self, peer: IncarnationId, loan: Loan) -> Tokens:
+        """Have a router lend tokens.
+
+        :raises LinkError: no answer came; it may have lent.
+        """
+        request = pb.LoanRequest(
+            name=loan.name, customer=loan.customer, tokens=loan.tokens
+        )
+        reply = await self._call(peer, "Borrow", request)
+        return Tokens(reply.tokens)
+
+    async def repay(self, peer: IncarnationId, name: str, tokens: Tokens) -> None:
+        """Tell a router what its loan cost.
+
+        :raises LinkError: no answer came.
+        """
+        await self._call(peer, "Repay", pb.Repayment(name=name, tokens=tokens))
+
+    async def Borrow(  # noqa: N802 (name of the generated interface)
+        self, request: pb.LoanRequest, context: grpc.aio.ServicerContext
+    ) -> pb.LoanReply:
+        """Lend a peer what is free here."""
+        if self.lender is None or self.leaving:
+            return pb.LoanReply()
+        customer = CustomerId(request.customer)
+        loan = Loan(request.name, customer, Tokens(request.tokens))
+        return pb.LoanReply(tokens=self.lender.lend(loan))
+
+    async def Repay(  # noqa: N802 (name of the generated interface)
+        self, request: pb.Repayment, context: grpc.aio.ServicerContext
+    ) -> pb.RepaymentReply:
+        """Count what a loan cost."""
+        if self.lender is not None:
+            self.lender.repay(request.name, Tokens(request.tokens))
+        return pb.RepaymentReply()
+
+    async def _call(self, incarnation: IncarnationId, method: str, request: object):
+        for peer in self.peers_by_address.values():
+            if peer.incarnation == incarnation:
+                break
+        else:
+            raise LinkError("no such peer", step=f"peers.{method}", peer=incarnation)
+        stub = peer_pb2_grpc.PeersStub(self._channel(peer.address))
+        try:
+            return await getattr(stub, method)(request, timeout=CALL_SECONDS)
+        except grpc.aio.AioRpcError as error:
+            raise LinkError(
+                error.code().name, step=f"peers.{method}", peer=peer.address
+            ) from error
+
     def _round(self, now: float) -> list[Peer]:
         due = [peer for peer in self.peers_by_address.values() if peer.next_at <= now]
         if len(due) > PEERS_A_ROUND:
@@ -177,11 +244,19 @@
                 prefill_tokens=max(0, load.prefill_tokens),
                 held_tokens=load.held_tokens,
             )
-        parts_by_server: dict[BackendServerId, list[PartId]] = {}
+        parts_by_server: dict[BackendServerId, list[PartSeen]] = {}
         for seen in report.parts:
-            parts_by_server.setdefault(seen.server_id, []).append(seen.part_id)
+            parts_by_server.setdefault(seen.server_id, []).append(seen)
         for server_id, parts in parts_by_server.items():
-            state.parts.add(server=server_id, parts=parts)
+            state.parts.add(
+                server=server_id,
+                parts=[part.part_id for part in parts],
+                tokens=[part.tokens for part in parts],
+            )
+        for server_id, counts in report.results_by_server.items():
+            state.results.add(
+                server=server_id, good=counts.good, bad=counts.bad, lost=counts.lost
+            )
         state.peers.extend(peer.address for peer in self.alive())
         return state
 
@@ -198,7 +273,9 @@
         self.meet(list(reply.peers))
         now = time.monotonic()
         for table in reply.tables:
-            self._knowledge.apply(table.table, _change_of(table), now)
+            # This router asked since it lost the store: entries may have lapsed.
+            change = _change_of(table)
+            self._knowledge.apply(table.table, change, now, after_outage=True)
 
     def _seen(self, peer: Peer, incarnation: str) -> None:
         now = time.monotonic()
@@ -237,10 +314,16 @@
             for load in state.loads
         },
         parts=[
-            PartSeen(BackendServerId(seen.server), PartId(part))
+            PartSeen(BackendServerId(seen.server), PartId(part), tokens)
             for seen in state.parts
-            for part in seen.parts
+            for part, tokens in zip(seen.parts, seen.tokens, strict=False)
         ],
+        results_by_server={
+            BackendServerId(counts.server): ResultCounts(
+                counts.good, counts.bad, counts.lost
+            )
+            for counts in state.results
+        },
     )
 
 
--- a/bluebellshore/entry/relay.py
+++ b/bluebellshore/entry/relay.py
@@ -98,11 +98,11 @@
         return "" if self._last_number is None else str(self._last_number)
 
     async def run(
-        self, answer: Answer, first_event: Callable[[], None], first_seconds: float
+        self, answer: Answer, on_event: Callable[[], None], first_seconds: float
     ) -> None:
         """Pass on events until the end of the stream.
 
-        :param first_event: called when the first event has come.
+        :param on_event: called when events have come.
         :param first_seconds: longest wait for it.
         :raises AttemptError: the stream broke off, fell silent or lacks an event.
         """
@@ -112,7 +112,7 @@
         while (data := await self._next(chunks, limit)) is not None:
             events = splitter.feed(data)
             if events:
-                first_event()
+                on_event()
                 limit = self._pause_limit()
             await self._pass_on(answer, events)
         if splitter.rest.strip():
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from bluebellshore.backend.direct import DirectBackend
+from bluebellshore.entry.admission import Admission
 from bluebellshore.entry.budgets import CustomerBudgets
 from bluebellshore.entry.dispatch import Dispatcher
 from bluebellshore.entry.ingress import Ingress
@@ -18,7 +19,7 @@
 from bluebellshore.entry.settings import EntrySettings
 from bluebellshore.entry.watch import StoreWatch
 from bluebellshore.errors import SettingsError
-from bluebellshore.fleet import BackendServer
+from bluebellshore.fleet import BackendServer, Configuration
 from bluebellshore.ids import CustomerId, IncarnationId, InstanceId, Tokens, ZoneName
 from bluebellshore.platform.requests import ANSWER_HEADERS, backend_headers
 from bluebellshore.platform.settings import load_settings
@@ -70,8 +71,8 @@
         await self._store.open()
         self._knowledge = Knowledge(settings.server_lapse_seconds)
         self._watch = StoreWatch(self._store, self._knowledge)
-        self._book = LoadBook()
         self._suspicion = Suspicion()
+        self._book = LoadBook(self._suspicion)
         instance_id = InstanceId(settings.instance_id)
         self._peers = Peers(
             address=settings.peer_listen,
@@ -93,10 +94,17 @@
             ANSWER_HEADERS, max_connections=self._max_connections
         )
         self._budgets = CustomerBudgets(self._store, instance_id, prepaid=self._prepaid)
+        self._peers.lender = self._budgets.lender
+        self._admission = Admission(
+            self._knowledge,
+            self._book,
+            Placer(self._book, ZoneName(settings.zone)),
+            self._suspicion,
+        )
         self._dispatcher = Dispatcher(
             knowledge=self._knowledge,
             book=self._book,
-            placer=Placer(self._book, ZoneName(settings.zone)),
+            admission=self._admission,
             suspicion=self._suspicion,
             backend=self._backend,
             budgets=self._budgets,
@@ -193,6 +201,9 @@
                 self._book.forget(renewed)
                 self._backend.forget(renewed)
 
+    def _configured(self, configuration: Configuration) -> None:
+        self._book.configure(configuration.services_by_name.values())
+
     def _prepaid(self, customer: CustomerId) -> Tokens | None:
         configuration = self._knowledge.configuration
         if configuration is None:
--- a/bluebellshore/entry/watch.py
+++ b/bluebellshore/entry/watch.py
@@ -22,6 +22,8 @@
 RETRY_SECONDS = 0.25
 #: Time without an answer after which the store counts as lost.
 LOST_SECONDS = 1.5
+#: Time after its return in which entries may still lapse for its outage.
+RETURN_SECONDS = 1.0
 
 
 class StoreWatch:
@@ -32,6 +34,7 @@
         self._knowledge = knowledge
         self._versions: dict[str, int | None] = dict.fromkeys(TABLES)
         self._seen_at: dict[str, float] = dict.fromkeys(TABLES, -1e9)
+        self._regained_at: dict[str, float] = dict.fromkeys(TABLES, -1e9)
         self._lost = True
 
     @property
@@ -83,7 +86,9 @@
             eliot.log_message("store_regained", versions=self._knowledge.versions())
 
     def _after_outage(self, table: str, now: float) -> bool:
-        return now - self._seen_at[table] > LOST_SECONDS + WAIT_SECONDS
+        if now - self._seen_at[table] > LOST_SECONDS + WAIT_SECONDS:
+            self._regained_at[table] = now
+        return now - self._regained_at[table] < RETURN_SECONDS
 
     def _note_failure(self, table: str, error: PlatformError) -> None:
         if not self._lost and self.lost:
--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -201,6 +201,11 @@
         if self._suspicion is not None:
             self._suspicion.forget(ticket)
 
+    def abandon(self, ticket: Ticket, now: float) -> None:
+        """Forget an attempt whose caller left, unless it has ended."""
+        if ticket in self._attempts_by_ticket:
+            self.end(ticket, Result.LEFT, now)
+
     def load_of(self, server_id: BackendServerId, now: float) -> ServerLoad:
         """Return all work known to be in hand at a backend server.
 
