Cap what a killed router may have spent, by the store's clock

Cause: all that a killed router held counted as spent, so a large stock against outages cost much when all routers were killed.

Caps in the incarnation's row hold until 4 s after the store's time in the same row; then the whole allotment may be spent, for the store is out. A successor that is back sooner, by the store's clock in its own first answers, counts the caps, a later one all that was held. The router's own gate runs from the newest time it ever sent, as the row with it may stand without an answer. Where no answer tells the store's time, caps are as high as what is held.

Ruled out: times of the machines (they may jump), files (gone with the process), lower caps without a lapse (nothing to spend in an outage).

--- a/bluebellshore/budget/book.py
+++ b/bluebellshore/budget/book.py
@@ -274,6 +274,10 @@
         keep = wanted / 2 <= account.cap <= wanted * 2 and used <= account.cap
         return Tokens(account.cap if keep else wanted)
 
+    def lapse(self) -> tuple[float, float]:
+        """Return what the row says on when caps no longer hold: always."""
+        return 0.0, 0.0
+
     def lower_limits(self, limits: Limits) -> None:
         """Heed stricter limits before the row has them."""
         for sidecar in self.uses_by_sidecar.keys() - set(limits.sidecars):
--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -308,6 +308,7 @@
         row = transaction.row
         row.sequence = transaction.sequence
         row.sidecars, row.caps = limits.sidecars, limits.caps
+        row.seen_seconds, row.lapse_seconds = self._book.lapse()
         if request.closing and self._closable(transaction):
             row.state = IncarnationState.CLOSED
             row.sidecars, row.caps = [], {}
--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -1,5 +1,7 @@
 """Recovers the allotments of earlier lives of an instance."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from bluebellshore.budget.rows import (
@@ -15,7 +17,7 @@
 )
 from bluebellshore.errors import TransactionConflictError
 from bluebellshore.ids import BudgetId, Epoch, IncarnationId, InstanceId, Tokens
-from bluebellshore.store.interface import Row, TableService, Write
+from bluebellshore.store.interface import Row, StoreTime, TableService, Write
 
 __all__ = ["Predecessors", "Recovered"]
 
@@ -47,11 +49,18 @@
     before it died can't take effect afterwards.
 
     :param own: the incarnation that lives.
+    :param store_time: the store's time, as an answer to this process told it.
     """
 
     def __init__(
-        self, table: TableService, own: IncarnationId, instance_id: InstanceId
+        self,
+        table: TableService,
+        own: IncarnationId,
+        instance_id: InstanceId,
+        store_time: Callable[[], StoreTime | None] = lambda: None,
     ):
+        self._store_time = store_time
+        self._died_before: float | None = None
         self._table = table
         self._own = own
         self._instance_id = instance_id
@@ -63,7 +72,10 @@
         :raises PlatformError: the platform gave no answer; a later run goes on.
         """
         recovered = []
-        for row in await self._rows():
+        rows = await self._rows()
+        if self._died_before is None and (seen := self._store_time()):
+            self._died_before = seen.store_seconds
+        for row in rows:
             value = decode_row(row, IncarnationRow)
             incarnation = IncarnationId(row.key.removeprefix(INCARNATION_PREFIX))
             if value.instance_id != self._instance_id or incarnation == self._own:
@@ -106,7 +118,7 @@
         writes = []
         for budget, (budget_row, held) in list(budgets.items())[:size]:
             own = held.allotments.pop(report.incarnation)
-            spent[budget] = self._spent_at_most(own, value.caps[budget])
+            spent[budget] = self._spent_at_most(own, budget, value)
             returned[budget] = Tokens(own.outstanding - spent[budget])
             held.settled = Tokens(held.settled + spent[budget])
             writes.append(Write(budget_row.key, budget_row.version, encode_row(held)))
@@ -120,9 +132,12 @@
         report.returned |= returned
         return done
 
-    @staticmethod
-    def _spent_at_most(own: Allotment, cap: Tokens) -> Tokens:
-        return Tokens(min(own.outstanding, cap))
+    def _spent_at_most(
+        self, own: Allotment, budget: BudgetId, value: IncarnationRow
+    ) -> Tokens:
+        if not value.caps_hold(self._died_before):
+            return own.outstanding
+        return Tokens(min(own.outstanding, value.caps[budget]))
 
     async def _held(
         self, incarnation: IncarnationId, value: IncarnationRow
--- a/bluebellshore/budget/recovery.py
+++ b/bluebellshore/budget/recovery.py
@@ -1,5 +1,7 @@
 """Transactions on behalf of a fenced incarnation."""
 
+import sys
+
 import msgspec
 
 from bluebellshore.budget.rows import (
@@ -130,6 +132,8 @@
                 continue
             bills = [bill for bill in unbilled if bill.budget == budget]
             limit = value.caps[budget] * len(value.sidecars)
+            if not value.caps_hold(None):
+                limit = sys.maxsize
             if self._settle(budget, budget_row, bills, limit):
                 encoded = encode_row(budget_row)
                 writes.append(Write(row.key, row.version, encoded))
--- a/bluebellshore/budget/rows.py
+++ b/bluebellshore/budget/rows.py
@@ -91,6 +91,9 @@
     :param sidecars: sidecars in use. Nothing is sent to one that is not listed.
     :param caps: bounds, by budget, on the unsettled tokens at any one sidecar. Has
         each budget in whose row the incarnation may have an allotment.
+    :param seen_seconds: the store's time at some moment before this was written.
+    :param lapse_seconds: the caps may be exceeded from this long after that moment;
+        0 when they always hold.
     :param recoveries: transactions of reclaimers; these leave `sequence` alone, by
         which the router recognizes its own.
     """
@@ -101,8 +104,18 @@
     sequence: int = 0
     sidecars: list[IncarnationId] = msgspec.field(default_factory=list)
     caps: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
+    seen_seconds: float = 0.0
+    lapse_seconds: float = 0.0
     recoveries: int = 0
 
+    def caps_hold(self, store_seconds: float | None) -> bool:
+        """Whether an incarnation that was dead by then kept to its caps."""
+        if not self.lapse_seconds:
+            return True
+        if store_seconds is None:
+            return False
+        return 0 <= store_seconds - self.seen_seconds < self.lapse_seconds
+
 
 class Bill(msgspec.Struct, frozen=True):
     """One billed request."""
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -34,7 +34,7 @@
     RefusedError,
 )
 from bluebellshore.ids import BudgetId, CustomerId, IncarnationId, InstanceId, Tokens
-from bluebellshore.store.interface import TableChange, TableService
+from bluebellshore.store.interface import StoreTime, TableChange, TableService
 
 __all__ = ["BUDGET_TABLE", "CustomerBudgets"]
 
@@ -47,7 +47,7 @@
 BURN_WINDOW_SECONDS = 4.0
 #: A row that shows a budget exhausted goes on to do so until its total is raised.
 TIMES = AccountantTimes(
-    settle=0.6, heartbeat=5.0, poll=0.1, look=1.0, cover=float("inf"), close=2.0
+    settle=0.6, heartbeat=1.5, poll=0.1, look=1.0, cover=float("inf"), close=2.0
 )
 #: Pause after a failure, before predecessors or budgets are tried again.
 RECOVER_SECONDS = 0.3
@@ -98,6 +98,8 @@
     :param horizon_seconds: outage of the store that allotments ride out.
     :param policy: size of allotments; by the horizon when left out.
     :param peers: routers that may lend tokens; None for none.
+    :param store_time: the store's time by its newest answer to this process, with
+        the same local clock as `clock`; None where no answer tells it.
     :param rng: source of jitter.
     :param incarnation: unique name of this life; made when left out.
     """
@@ -114,6 +116,7 @@
         rng: random.Random | None = None,
         policy: AllotmentPolicy | None = None,
         peers: RouterPeers | None = None,
+        store_time: Callable[[], StoreTime | None] = lambda: None,
         times: AccountantTimes = TIMES,
         incarnation: IncarnationId | None = None,
     ):
@@ -124,7 +127,9 @@
         self._prepaid = prepaid
         self._customers = customers
         self._clock = clock
-        self._book = DirectBook(burn_window_seconds=BURN_WINDOW_SECONDS)
+        self._book = DirectBook(
+            burn_window_seconds=BURN_WINDOW_SECONDS, store_time=store_time
+        )
         self._accountant = Accountant(
             table,
             self.incarnation,
@@ -139,9 +144,11 @@
         self._accountant.on_applied = self._log_applied
         self._accountant.on_platform = self._log_platform
         #: For other routers to borrow from.
-        self.lender = Lender(self._accountant, self.incarnation, clock)
+        self.lender = Lender(self._accountant, self._book, self.incarnation, clock)
         self._borrower = peers and Borrower(peers, self.incarnation, clock)
-        self._predecessors = Predecessors(table, self.incarnation, instance_id)
+        self._predecessors = Predecessors(
+            table, self.incarnation, instance_id, store_time
+        )
         self._open_by_attempt: dict[str, _Open] = {}
         self._count = 0
         self._refusals: dict[CustomerId, _Refusals] = {}
@@ -337,7 +344,8 @@
     async def _borrow(self, opened: _Open) -> bool:
         """Reserve what is free here and borrow the rest."""
         budget = BudgetId(opened.customer)
-        own = Tokens(min(opened.tokens, max(0, self._book.account(budget).free)))
+        available = self._book.available(budget, self._clock())
+        own = Tokens(min(opened.tokens, available))
         if own and not self._accountant.try_reserve(budget, opened.name, DIRECT, own):
             return False
         self._count += 1
--- a/bluebellshore/entry/loans.py
+++ b/bluebellshore/entry/loans.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from bluebellshore.budget import Accountant
-from bluebellshore.budget.direct import DIRECT
+from bluebellshore.budget.direct import DIRECT, DirectBook
 from bluebellshore.budget.rows import BudgetRow
 from bluebellshore.errors import BluebellshoreError
 from bluebellshore.ids import BudgetId, CustomerId, IncarnationId, Tokens
@@ -92,10 +92,12 @@
     def __init__(
         self,
         accountant: Accountant,
+        book: DirectBook,
         own: IncarnationId,
         clock: Callable[[], float],
     ):
         self.lent_tokens = 0
+        self._book = book
         self._accountant = accountant
         self._own = own
         self._clock = clock
@@ -113,8 +115,8 @@
         if loan.name in self._withdrawn_at:
             return Tokens(0)
         budget = BudgetId(loan.customer)
-        account = self._accountant.book.accounts_by_budget.get(budget)
-        tokens = Tokens(min(loan.tokens, account.free if account else 0))
+        available = self._book.available(budget, self._clock())
+        tokens = Tokens(min(loan.tokens, available))
         name = f"~{loan.name}"
         if tokens <= 0 or not self._accountant.try_reserve(
             budget, name, DIRECT, tokens
--- a/bluebellshore/experiments/entry_budgets.py
+++ b/bluebellshore/experiments/entry_budgets.py
@@ -53,7 +53,7 @@
 OUTAGES = ((6.0, 14.0), (18.0, 26.0))
 KILL_ONE_AT = 16.0
 KILL_ALL_AT = 29.0
-HERD_AT = 15.0
+WAYS = {"yes": (True,), "no": (False,), "both": (True, False)}
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -87,6 +87,7 @@
 class Day(msgspec.Struct, frozen=True):
     """What fails on a day.
 
+    :param herd_at: time at which all routers are killed.
     :param hot: factor of one large customer's load for six seconds.
     """
 
@@ -94,7 +95,7 @@
     outages: bool = False
     kill_one: bool = False
     kill_all: bool = False
-    herd: bool = False
+    herd_at: float | None = None
     hot: float = 2.2
 
 
@@ -103,7 +104,8 @@
     Day("quiet"),
     Day("outages", outages=True),
     Day("kills", kill_one=True, kill_all=True),
-    Day("herd", herd=True),
+    Day("herd", herd_at=15.0),
+    Day("herd while out", outages=True, herd_at=12.0),
     Day("all", outages=True, kill_one=True, kill_all=True),
     Day("all, hot x3", outages=True, kill_one=True, kill_all=True, hot=3.0),
 )
@@ -119,7 +121,7 @@
         f"standby {standby}, {seconds} s": lambda seconds=seconds, standby=standby: (
             StandbyPolicy(seconds, max(0.8, standby), standby)
         )
-        for standby in (0.3, 0.6, 0.9)
+        for standby in (0.3, 0.6, 0.8)
         for seconds in (4, 8, 12)
     },
 }
@@ -179,8 +181,11 @@
 
 
 class _Simulation:
-    def __init__(self, site: Site, day: Day, policy: str, seed: int, loans: bool):
+    def __init__(
+        self, site: Site, day: Day, policy: str, seed: int, loans: bool, caps: bool
+    ):
         self.outcome = Outcome(seconds=DAY_SECONDS)
+        self._caps = caps
         self._site, self._day, self._policy = site, day, policy
         self._rng = random.Random(seed)
         self._table = MemoryTable()
@@ -239,8 +244,9 @@
 
     async def _start(self, index: int) -> None:
         self._lives += 1
+        client = StoreClient(self._table, self._store)
         router = CustomerBudgets(
-            StoreClient(self._table, self._store),
+            client,
             f"r{index}",
             prepaid=self._prepaid.get,
             customers=lambda: self._customers,
@@ -248,6 +254,7 @@
             rng=random.Random(self._rng.random()),
             policy=POLICIES[self._policy](),
             peers=self._peers,
+            store_time=(lambda: client.time) if self._caps else lambda: None,
             incarnation=f"r{index}.{self._lives}",
         )
         self._routers[index] = router
@@ -284,8 +291,8 @@
             events.append((KILL_ONE_AT, "kill one"))
         if day.kill_all:
             events.append((KILL_ALL_AT, "kill all"))
-        if day.herd:
-            events.append((HERD_AT, "kill all"))
+        if day.herd_at is not None:
+            events.append((day.herd_at, "kill all"))
         for at, event in sorted(events):
             await asyncio.sleep(began_at + at - loop.time())
             await self._do(event)
@@ -362,17 +369,23 @@
 
 
 def simulate(
-    site: Site, day: Day, policy: str, seed: int, *, loans: bool = True
+    site: Site,
+    day: Day,
+    policy: str,
+    seed: int,
+    *,
+    loans: bool = True,
+    caps: bool = True,
 ) -> Outcome:
     """Play one day."""
-    return run_virtual(_Simulation(site, day, policy, seed, loans).run())
+    return run_virtual(_Simulation(site, day, policy, seed, loans, caps).run())
 
 
-def _play(case: tuple[Site, Day, str, bool, int]) -> Outcome:
+def _play(case: tuple[Site, Day, str, bool, bool, int]) -> Outcome:
     total = Outcome()
-    site, day, policy, loans, seeds = case
+    site, day, policy, loans, caps, seeds = case
     for seed in range(seeds):
-        total.add(simulate(site, day, policy, seed, loans=loans))
+        total.add(simulate(site, day, policy, seed, loans=loans, caps=caps))
     return total
 
 
@@ -383,30 +396,31 @@
     parser.add_argument("--policies", nargs="*", default=list(POLICIES))
     parser.add_argument("--days", nargs="*", default=[day.name for day in DAYS])
     parser.add_argument("--sites", nargs="*", default=[site.name for site in SITES])
-    parser.add_argument("--no-loans", action="store_true")
-    parser.add_argument("--both", action="store_true")
+    parser.add_argument("--loans", choices=list(WAYS), default="yes")
+    parser.add_argument("--caps", choices=list(WAYS), default="yes")
     parser.add_argument("--processes", type=int, default=2)
     options = parser.parse_args()
     cases = [
-        (site, day, policy, loans, options.seeds)
+        (site, day, policy, loans, caps, options.seeds)
         for site in SITES
         if site.name in options.sites
         for day in DAYS
         if day.name in options.days
         for policy in options.policies
-        for loans in ((True, False) if options.both else (not options.no_loans,))
+        for loans in WAYS[options.loans]
+        for caps in WAYS[options.caps]
     ]
     print(
-        "| site | day | policy | loans | owed, refused | while out | with 402 "
+        "| site | day | policy | loans | caps | owed, refused | while out | with 402 "
         "| lost to the dead | transactions/s | conflicts/s | rows/s "
         "| peer calls/s | overspent |"
     )
-    print("| --- " * 13 + "|")
+    print("| --- " * 14 + "|")
     with ProcessPoolExecutor(options.processes) as pool:
         for case, total in zip(cases, pool.map(_play, cases), strict=True):
-            site, day, policy, loans, _ = case
-            mark = "yes" if loans else "no"
-            name = f"{site.name} | {day.name} | {policy} | {mark}"
+            site, day, policy, loans, caps, _ = case
+            marks = " | ".join("yes" if mark else "no" for mark in (loans, caps))
+            name = f"{site.name} | {day.name} | {policy} | {marks}"
             print(f"| {name} | {total.line()} |", flush=True)
 
 
--- a/bluebellshore/experiments/entry_links.py
+++ b/bluebellshore/experiments/entry_links.py
@@ -9,7 +9,7 @@
 from bluebellshore.entry.loans import Lender, Loan
 from bluebellshore.errors import LinkError, PlatformUnavailableError
 from bluebellshore.ids import IncarnationId, Tokens
-from bluebellshore.store.interface import Row, Write
+from bluebellshore.store.interface import Row, StoreTime, Write
 from bluebellshore.store.memory import MemoryTable
 
 __all__ = ["MemoryPeers", "StoreClient", "StoreState"]
@@ -29,6 +29,7 @@
     """A router's way to the table."""
 
     def __init__(self, table: MemoryTable, store: "StoreState"):
+        self.time: StoreTime | None = None
         self._table = table
         self._store = store
 
@@ -51,6 +52,8 @@
         await asyncio.sleep(seconds)
         if self._store.out:
             raise PlatformUnavailableError("out", step="experiment")
+        now = asyncio.get_running_loop().time()
+        self.time = StoreTime(now, now)
 
 
 class MemoryPeers:
--- a/bluebellshore/store/interface.py
+++ b/bluebellshore/store/interface.py
@@ -17,6 +17,7 @@
     "InstanceState",
     "ObjectStore",
     "Row",
+    "StoreTime",
     "TableChange",
     "TableService",
     "TableSnapshot",
@@ -38,6 +39,17 @@
     value: bytes
 
 
+class StoreTime(msgspec.Struct, frozen=True):
+    """The store's steady clock, as an answer told it.
+
+    :param store_seconds: by the store.
+    :param local_seconds: by this process's monotonic clock when the answer came.
+    """
+
+    store_seconds: float
+    local_seconds: float
+
+
 class Write(msgspec.Struct, frozen=True):
     """One conditional write of a transaction.
 
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -28,7 +28,7 @@
     TransactionConflictError,
 )
 from bluebellshore.experiments.virtual_time import run_virtual
-from bluebellshore.store.interface import TableChange
+from bluebellshore.store.interface import StoreTime, TableChange
 from bluebellshore.store.memory import MemoryTable
 
 PREPAID = 10_000
@@ -49,16 +49,25 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.landings = []
+        self.time = None
+
+    def _answered(self, store_seconds):
+        now = asyncio.get_running_loop().time()
+        self.time = StoreTime(store_seconds, now)
 
     async def read(self, keys):
-        await self._reach("read")
+        stamp = await self._reach("read")
         rows = await self.table.read(keys)
         await self.awake.wait()
+        self._answered(stamp)
         return rows
 
     async def scan(self, prefix, after="", limit=1000):
-        await self._reach("scan")
-        return await self.table.scan(prefix, after, limit)
+        stamp = await self._reach("scan")
+        rows = await self.table.scan(prefix, after, limit)
+        await self.awake.wait()
+        self._answered(stamp)
+        return rows
 
     async def transact(self, writes):
         await self._reach("transact")
@@ -69,11 +78,13 @@
         # What was sent takes effect though the sender dies.
         landing = self._land(writes, self.delay_seconds)
         versions = await asyncio.shield(landing)
+        stamp = asyncio.get_running_loop().time()
         await self.awake.wait()
         if isinstance(versions, TransactionConflictError):
             raise versions
         if self._happens("lose"):
             raise PlatformUnavailableError("answer lost", step="transact")
+        self._answered(stamp)
         return versions
 
     def _happens(self, fault):
@@ -101,6 +112,7 @@
         await self.awake.wait()
         if self.out:
             raise PlatformUnavailableError("out", step=step)
+        return asyncio.get_running_loop().time()
 
 
 class Peers:
@@ -153,7 +165,8 @@
 class World:
     """Routers over one table, and what backend servers delivered in truth."""
 
-    def __init__(self, prepaid, seed=1, loans=False):
+    def __init__(self, prepaid, seed=1, loans=False, caps=False):
+        self.caps = caps
         self.rng = random.Random(seed)
         self.loans = loans
         self.peers = {}
@@ -179,6 +192,7 @@
             rng=random.Random(self.rng.random()),
             incarnation=f"{name}.{self.lives}",
             peers=self.peers[name] if self.loans else None,
+            store_time=(lambda: client.time) if self.caps else lambda: None,
         )
         self.clients[name], self.routers[name] = client, router
         await router.open()
@@ -529,6 +543,79 @@
         await router.close()
 
 
+class CapsTest(unittest.TestCase):
+    """What a killed router may have spent, by the store's clock."""
+
+    async def kill(self, out_seconds, dead_seconds):
+        world = World({"acme": PREPAID}, caps=True)
+        await world.start("r1")
+        await asyncio.sleep(3)
+        asyncio.ensure_future(world.request("r1", "acme", 700, 700, 60.0))
+        await asyncio.sleep(1)
+        world.clients["r1"].out = True
+        await asyncio.sleep(out_seconds)
+        held = world.row().allotments["r1.1"].outstanding
+        cap = world.incarnations()["r1.1"].caps["acme"]
+        await world.kill("r1")
+        await asyncio.sleep(dead_seconds)
+        await world.start("r1")
+        await asyncio.sleep(1)
+        settled = world.row().settled
+        await world.stop()
+        return held, cap, settled
+
+    @in_virtual_time
+    async def test_back_soon_after_contact_counts_the_cap(self):
+        held, cap, settled = await self.kill(0.5, 1.0)
+        self.assertLess(cap, held * 0.7)
+        self.assertGreaterEqual(cap, 700)
+        self.assertEqual(settled, cap)
+
+    @in_virtual_time
+    async def test_later_the_whole_allotment_counts(self):
+        for out_seconds, dead_seconds in ((0.5, 4.5), (4.5, 0.5)):
+            held, cap, settled = await self.kill(out_seconds, dead_seconds)
+            self.assertLess(cap, held)
+            self.assertEqual(settled, held)
+
+    @in_virtual_time
+    async def test_whole_allotment_can_be_spent_in_an_outage(self):
+        world = World({"acme": PREPAID}, caps=True)
+        await world.start("r1")
+        await asyncio.sleep(3)
+        world.clients["r1"].out = True
+        free = world.routers["r1"].snapshot()["budgets"]["acme"]["free"]
+        error = await world.request("r1", "acme", free, free, 0.0)
+        self.assertIsInstance(error, OverloadError)  # the cap may still count
+        await asyncio.sleep(4.5)
+        self.assertIsNone(await world.request("r1", "acme", free, free, 0.0))
+        world.clients["r1"].out = False
+        await asyncio.sleep(2)
+        self.assertEqual(world.row().settled, free)
+        await world.stop()
+
+    @in_virtual_time
+    async def test_caps_hold_from_a_transaction_whose_answer_was_lost(self):
+        world = World({"acme": PREPAID}, caps=True)
+        await world.start("r1")
+        await asyncio.sleep(3)
+        client = world.clients["r1"]
+        while world.incarnations()["r1.1"].sequence < 5:
+            await asyncio.sleep(0.1)
+        client.lose_next = 1
+        sequence = world.incarnations()["r1.1"].sequence
+        while world.incarnations()["r1.1"].sequence == sequence:
+            await asyncio.sleep(0.001)
+        client.out = True
+        seen = world.incarnations()["r1.1"].seen_seconds
+        free = world.routers["r1"].snapshot()["budgets"]["acme"]["free"]
+        loop = asyncio.get_running_loop()
+        while await world.request("r1", "acme", free, free, 60.0, wait=0):
+            await asyncio.sleep(0.01)
+        self.assertGreater(loop.time() - seen, 4.0)
+        await world.stop()
+
+
 class LoansTest(unittest.TestCase):
     """Tokens that routers lend each other."""
 
@@ -621,7 +708,10 @@
         self.rng = random.Random(seed)
         self.kills = kills
         self.world = World(
-            {"acme": 6_000, "bolt": 2_500}, seed, loans=self.rng.random() < 0.6
+            {"acme": 6_000, "bolt": 2_500},
+            seed,
+            loans=self.rng.random() < 0.6,
+            caps=self.rng.random() < 0.6,
         )
         self.false_402 = []
 
@@ -665,11 +755,13 @@
         elif kind < 0.74 and self.kills and name in world.routers:
             await world.kill(name)
             if rng.random() < 0.7:
-                await asyncio.sleep(rng.uniform(0, 2))
+                await asyncio.sleep(rng.uniform(0, rng.choice((2, 8))))
             client.awake.set()
             await world.start(name, feed=rng.random() < 0.7)
         elif kind < 0.80:
             client.out = not client.out
+            if client.out and rng.random() < 0.3:
+                await asyncio.sleep(5)
         elif kind < 0.85:
             client.awake.clear() if client.awake.is_set() else client.awake.set()
         elif kind < 0.92:
@@ -718,6 +810,10 @@
         with mock.patch.object(Predecessors, "_spent_at_most", lambda *_: 0):
             self.assertTrue(self.some_overspend())
 
+    def test_relying_on_caps_that_lapsed_overspends(self):
+        with mock.patch.object(IncarnationRow, "caps_hold", lambda *_: True):
+            self.assertTrue(self.some_overspend())
+
     def test_taking_an_unanswered_return_as_undone_overspends(self):
         resolve = Journal._resolve
 
