--- a/bluebellshore/decisions/changes.py
+++ b/bluebellshore/decisions/changes.py
@@ -9,7 +9,7 @@
     Kind,
     Verdict,
 )
-from bluebellshore.decisions.lines import BoundedLines, Inputs, rounded
+from bluebellshore.decisions.lines import BoundedLines, Inputs
 
 __all__ = ["ChangeLines"]
 
@@ -34,14 +34,16 @@
         """
         self.write(
             Kind.CONFIGURATION,
+            {
+                "number": number,
+                "outcome": "in-force" if in_force else "turned-down",
+                "source": source,
+                "row_version": row_version,
+                "routes": routes,
+                "customers": customers,
+                "reason": reason or None,
+            },
             grave=not in_force,
-            number=number,
-            outcome="in-force" if in_force else "turned-down",
-            source=source,
-            row_version=row_version,
-            routes=routes,
-            customers=customers,
-            reason=reason or None,
         )
 
     def backend_server(
@@ -65,16 +67,18 @@
         """
         self.write(
             Kind.BACKEND_SERVER,
+            {
+                "server": server,
+                "belief": belief.value,
+                "reason": reason or None,
+                "service": service or None,
+                "address": address or None,
+                "version": version or None,
+                "born": born or None,
+                "row_version": row_version,
+                "inputs": inputs or None,
+            },
             grave=belief in (Belief.GONE, Belief.SUSPECTED),
-            server=server,
-            belief=belief.value,
-            reason=reason or None,
-            service=service or None,
-            address=address or None,
-            version=version or None,
-            born=born or None,
-            row_version=row_version,
-            inputs=rounded(inputs) if inputs else None,
         )
 
     def peer(
@@ -92,12 +96,14 @@
         """
         self.write(
             Kind.PEER,
+            {
+                "peer": peer,
+                "contact": contact.value,
+                "reason": reason or None,
+                "silent_seconds": silent_seconds,
+                "alive": alive,
+            },
             grave=contact is Contact.LOST,
-            peer=peer,
-            contact=contact.value,
-            reason=reason or None,
-            silent_seconds=silent_seconds,
-            alive=alive,
         )
 
     def store(
@@ -114,11 +120,13 @@
         """
         self.write(
             Kind.STORE,
+            {
+                "contact": contact.value,
+                "reason": reason or None,
+                "silent_seconds": silent_seconds,
+                "versions": dict(versions) if versions else None,
+            },
             grave=True,
-            contact=contact.value,
-            reason=reason or None,
-            silent_seconds=silent_seconds,
-            versions=dict(versions) if versions else None,
         )
 
     def allotment(
@@ -139,14 +147,16 @@
         """
         self.write(
             Kind.ALLOTMENT,
+            {
+                "customer": customer,
+                "outcome": outcome.value,
+                "tokens": tokens,
+                "balance": balance,
+                "prepaid": prepaid,
+                "row_version": row_version,
+                "reason": reason or None,
+            },
             grave=outcome in (AllotmentOutcome.DENIED, AllotmentOutcome.USED_UP),
-            customer=customer,
-            outcome=outcome.value,
-            tokens=tokens,
-            balance=balance,
-            prepaid=prepaid,
-            row_version=row_version,
-            reason=reason or None,
         )
 
     def rollout(
@@ -166,29 +176,43 @@
         """
         self.write(
             Kind.ROLLOUT,
+            {
+                "service": service,
+                "verdict": verdict.value,
+                "target": target,
+                "share": share,
+                "order_version": order_version,
+                "reason": reason or None,
+                "inputs": inputs or None,
+            },
             grave=True,
-            service=service,
-            verdict=verdict.value,
-            target=target,
-            share=share,
-            order_version=order_version,
-            reason=reason or None,
-            inputs=rounded(inputs) if inputs else None,
         )
 
     def started(self, role: str, **fields: object) -> None:
         """Log that the process serves, with its addresses and settings."""
-        self.write(Kind.STARTED, role=role, **fields)
+        self.write(
+            Kind.STARTED,
+            {
+                "role": role,
+                **fields,
+            },
+        )
 
     def reloaded(self, **fields: object) -> None:
         """Log that settings were read anew, with those that differ."""
-        self.write(Kind.RELOADED, **fields)
+        self.write(Kind.RELOADED, fields)
 
     def stopping(self, reason: str, **fields: object) -> None:
         """Log that the process begins to stop, with what it has in hand."""
-        self.write(Kind.STOPPING, reason=reason, **fields)
+        self.write(
+            Kind.STOPPING,
+            {
+                "reason": reason,
+                **fields,
+            },
+        )
 
     def stopped(self, **fields: object) -> None:
         """Log the end of the process, after what was left out."""
         self.report()
-        self.write(Kind.STOPPED, **fields)
+        self.write(Kind.STOPPED, fields)
--- a/bluebellshore/decisions/lines.py
+++ b/bluebellshore/decisions/lines.py
@@ -9,12 +9,10 @@
 from bluebellshore.decisions.kinds import LIFE_KINDS, Kind, LogLevel
 from bluebellshore.decisions.volume import HeldLines, TokenBucket, VolumeLimits
 
-__all__ = ["BoundedLines", "Inputs", "rounded"]
+__all__ = ["BoundedLines", "Inputs"]
 
 #: Least time between two counts of lines that were left out.
 REPORT_SECONDS = 1.0
-#: Digits kept of a float: a tenth of a millisecond for durations.
-DIGITS = 4
 
 Inputs = Mapping[str, object]
 
@@ -52,7 +50,7 @@
         self._reported_at = clock()
 
     def of_request(
-        self, kind: Kind, request: str, *, grave: bool = False, **fields: object
+        self, kind: Kind, request: str, fields: Inputs, *, grave: bool = False
     ) -> None:
         """Send a line about a request, or hold it until the request's end.
 
@@ -62,8 +60,8 @@
             return
         if self._level is LogLevel.FAILURES and not grave:
             return
-        line = self._line(kind, {"request": request, **fields})
         now = self._clock()
+        line = self._line(kind, now, fields, request)
         if grave:
             for held in self._held.take(request):
                 self._pass(Kind(held["message_type"]), held, now, grave=True)
@@ -74,13 +72,13 @@
             self._held.hold(request, line)
         self._report_now_and_then(now)
 
-    def write(self, kind: Kind, *, grave: bool = False, **fields: object) -> None:
+    def write(self, kind: Kind, fields: Inputs, *, grave: bool = False) -> None:
         """Send a line about this process."""
-        line = self._line(kind, fields)
+        now = self._clock()
+        line = self._line(kind, now, fields)
         if kind in LIFE_KINDS:
             self._send(line)
             return
-        now = self._clock()
         self._pass(kind, line, now, grave=grave)
         self._report_now_and_then(now)
 
@@ -90,17 +88,20 @@
         else:
             self._left_out[kind.value] += 1
 
-    def _line(self, kind: Kind, fields: Mapping[str, object]) -> dict:
+    def _line(
+        self, kind: Kind, now: float, fields: Inputs, request: str | None = None
+    ) -> dict[str, object]:
         line = {
             "message_type": kind.value,
-            "timestamp": round(self._wall_clock(), DIGITS),
+            "timestamp": self._wall_clock(),
             # Lines that were held back are written late; this tells their order.
-            "clock": round(self._clock(), DIGITS),
+            "clock": now,
         }
+        if request is not None:
+            line["request"] = request
         for name, value in fields.items():
-            if value is None:
-                continue
-            line[name] = round(value, DIGITS) if type(value) is float else value
+            if value is not None:
+                line[name] = value
         return line
 
     def _report_now_and_then(self, now: float) -> None:
@@ -109,18 +110,10 @@
 
     def report(self, now: float | None = None) -> None:
         """Write how many lines were left out."""
+        now = self._clock() if now is None else now
+        self._reported_at = now
         counts = self._left_out + self._held.discarded
-        self._reported_at = self._clock() if now is None else now
         if counts:
             self._left_out.clear()
             self._held.discarded.clear()
-            self._send(self._line(Kind.LEFT_OUT, {"lines": dict(counts)}))
-
-
-def rounded(inputs: Inputs) -> dict[str, object]:
-    """Return inputs without those that are None, floats with fewer digits."""
-    return {
-        name: round(value, DIGITS) if type(value) is float else value
-        for name, value in inputs.items()
-        if value is not None
-    }
+            self._send(self._line(Kind.LEFT_OUT, now, {"lines": dict(counts)}))
--- a/bluebellshore/decisions/requests.py
+++ b/bluebellshore/decisions/requests.py
@@ -1,7 +1,7 @@
 """Lines about decisions that concern one request."""
 
 from bluebellshore.decisions.kinds import BudgetOutcome, Kind, Outcome
-from bluebellshore.decisions.lines import BoundedLines, Inputs, rounded
+from bluebellshore.decisions.lines import BoundedLines, Inputs
 
 __all__ = ["RequestLines"]
 
@@ -37,15 +37,17 @@
         self.of_request(
             Kind.ADMITTED,
             request,
-            route=route,
-            customer=customer,
-            priority=priority,
-            deadline_seconds=deadline_seconds,
-            configuration=configuration,
-            model=model or None,
-            prompt_tokens=prompt_tokens or None,
-            output_tokens=output_tokens or None,
-            resumed_at=resumed_at or None,
+            {
+                "route": route,
+                "customer": customer,
+                "priority": priority,
+                "deadline_seconds": deadline_seconds,
+                "configuration": configuration,
+                "model": model or None,
+                "prompt_tokens": prompt_tokens or None,
+                "output_tokens": output_tokens or None,
+                "resumed_at": resumed_at or None,
+            },
         )
 
     def waited(
@@ -68,11 +70,13 @@
         self.of_request(
             Kind.WAITED,
             request,
-            seconds=seconds,
-            reason=reason,
-            outcome=outcome,
-            ahead=ahead,
-            servers=servers,
+            {
+                "seconds": seconds,
+                "reason": reason,
+                "outcome": outcome,
+                "ahead": ahead,
+                "servers": servers,
+            },
         )
 
     def placed(
@@ -104,17 +108,19 @@
         self.of_request(
             Kind.PLACED,
             request,
-            attempt=attempt,
-            server=server,
-            version=version or None,
-            expected_seconds=expected_seconds,
-            cached_tokens=cached_tokens,
-            candidates=candidates,
-            youngest_report_seconds=youngest_report_seconds,
-            oldest_report_seconds=oldest_report_seconds,
-            running=running,
-            reason=reason or None,
-            configuration=configuration,
+            {
+                "attempt": attempt,
+                "server": server,
+                "version": version or None,
+                "expected_seconds": expected_seconds,
+                "cached_tokens": cached_tokens,
+                "candidates": candidates,
+                "youngest_report_seconds": youngest_report_seconds,
+                "oldest_report_seconds": oldest_report_seconds,
+                "running": running,
+                "reason": reason or None,
+                "configuration": configuration,
+            },
         )
 
     def sent_again(
@@ -139,14 +145,16 @@
         self.of_request(
             Kind.SENT_AGAIN,
             request,
+            {
+                "attempt": attempt,
+                "server": server,
+                "reason": reason,
+                "seconds_left": seconds_left,
+                "attempts_left": attempts_left,
+                "retries_left": retries_left,
+                "events": events,
+            },
             grave=True,
-            attempt=attempt,
-            server=server,
-            reason=reason,
-            seconds_left=seconds_left,
-            attempts_left=attempts_left,
-            retries_left=retries_left,
-            events=events,
         )
 
     def paused(
@@ -169,13 +177,15 @@
         self.of_request(
             Kind.PAUSED,
             request,
+            {
+                "server": server,
+                "seconds": seconds,
+                "allowed_seconds": allowed_seconds,
+                "events": events,
+                "running": running,
+                "caller_behind_bytes": caller_behind_bytes,
+            },
             grave=True,
-            server=server,
-            seconds=seconds,
-            allowed_seconds=allowed_seconds,
-            events=events,
-            running=running,
-            caller_behind_bytes=caller_behind_bytes,
         )
 
     def refused(
@@ -198,13 +208,15 @@
         self.of_request(
             Kind.REFUSED,
             request,
+            {
+                "status": status,
+                "reason": reason,
+                "run": run,
+                "retry_after": retry_after,
+                "configuration": configuration,
+                "inputs": inputs or None,
+            },
             grave=True,
-            status=status,
-            reason=reason,
-            run=run,
-            retry_after=retry_after,
-            configuration=configuration,
-            inputs=rounded(inputs) if inputs else None,
         )
 
     def budget(
@@ -232,15 +244,17 @@
         self.of_request(
             Kind.BUDGET,
             request,
+            {
+                "customer": customer,
+                "outcome": outcome.value,
+                "tokens": tokens,
+                "balance": balance,
+                "balance_age_seconds": balance_age_seconds,
+                "prepaid": prepaid,
+                "reserved": reserved,
+                "version": version,
+            },
             grave=outcome is BudgetOutcome.SHORT,
-            customer=customer,
-            outcome=outcome.value,
-            tokens=tokens,
-            balance=balance,
-            balance_age_seconds=balance_age_seconds,
-            prepaid=prepaid,
-            reserved=reserved,
-            version=version,
         )
 
     def ended(
@@ -267,17 +281,19 @@
         self.of_request(
             Kind.ENDED,
             request,
+            {
+                "status": status,
+                "outcome": outcome.value,
+                "seconds": seconds,
+                "seconds_to_first_event": seconds_to_first_event,
+                "events": events,
+                "tokens": tokens,
+                "attempts": attempts,
+                "server": server or None,
+                "longest_pause_seconds": longest_pause_seconds,
+                "reason": reason or None,
+            },
             grave=not good,
-            status=status,
-            outcome=outcome.value,
-            seconds=seconds,
-            seconds_to_first_event=seconds_to_first_event,
-            events=events,
-            tokens=tokens,
-            attempts=attempts,
-            server=server or None,
-            longest_pause_seconds=longest_pause_seconds,
-            reason=reason or None,
         )
         if good:
             self._held.discard(request)
--- a/bluebellshore/decisions/writer.py
+++ b/bluebellshore/decisions/writer.py
@@ -37,7 +37,9 @@
         return orjson.dumps(message, default=repr, option=orjson.OPT_NON_STR_KEYS)
     except TypeError:
         # Text that is no UTF-8, as a header can hold, or an integer over 64 bits.
-        text = json.dumps(message, ensure_ascii=False, default=repr)
+        text = json.dumps(
+            message, ensure_ascii=False, default=repr, separators=(",", ":")
+        )
         return _surrogate.sub(lambda found: rf"\\u{ord(found[0]):04x}", text).encode()
 
 
