Tell the story of one request from the logs of many processes

Cause: on-call engineers have only logs; a request's lines say little without what the router believed then. New: bluebellshore explain ID [FILE...]. Lines of a process stand in the order of its steady clock, since the time of day may jump and held lines are written late; processes are merged by time of day. Damaged lines are counted and skipped. Ruled out: sorting all lines by time of day (a jump of 5 s in a test turns the order round).

--- a/bluebellshore/cli/main.py
+++ b/bluebellshore/cli/main.py
@@ -10,6 +10,7 @@
 import eliot
 
 from bluebellshore import __version__
+from bluebellshore.cli.explain import ExplainCommand
 from bluebellshore.cli.operators import (
     BudgetCommand,
     BundleCommand,
@@ -65,6 +66,7 @@
         | MoveCommand
         | BudgetCommand
         | StateCommand
+        | ExplainCommand
         | LocalCommand
         | DemoCommand
         | LoadCommand
--- a/bluebellshore/porcelain/__init__.py
+++ b/bluebellshore/porcelain/__init__.py
@@ -8,6 +8,7 @@
     sign_file,
     submit_file,
 )
+from bluebellshore.porcelain.explaining import Explanation, explain_request
 from bluebellshore.porcelain.readback import (
     BudgetView,
     MoveView,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "BudgetView",
+    "Explanation",
     "KeyView",
     "MoveView",
     "Rollout",
@@ -28,6 +30,7 @@
     "Submitted",
     "check_file",
     "dump_state",
+    "explain_request",
     "generate_key",
     "show_budgets",
     "show_moves",
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,304 @@
+"""Tests of the story of one request, on crafted logs of several processes."""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import unittest
+
+from bluebellshore import porcelain
+from bluebellshore.cli.main import ExitCode
+from bluebellshore.decisions import (
+    AllotmentOutcome,
+    Belief,
+    BudgetOutcome,
+    Contact,
+    DecisionLog,
+    Outcome,
+)
+from bluebellshore.errors import BluebellshoreError
+from tests.test_cli import command
+
+NOON = 1_800_000_000.0
+
+
+class Process:
+    """A process whose log is kept as lines.
+
+    :param began_at: Unix seconds at which its steady clock stood at 50.
+    """
+
+    def __init__(self, name: str, began_at: float = NOON):
+        self.now = 50.0
+        self.offset = began_at - 50.0
+        self.lines: list[bytes] = []
+        self._head = {"instance": name, "incarnation": f"{name}.1"}
+        self.log = DecisionLog(
+            self._take,
+            clock=lambda: self.now,
+            wall_clock=lambda: self.now + self.offset,
+        )
+
+    def _take(self, message: dict) -> None:
+        self.lines.append(json.dumps({**self._head, **message}).encode() + b"\n")
+
+    def after(self, seconds: float) -> DecisionLog:
+        """Return the log, some time later."""
+        self.now += seconds
+        return self.log
+
+
+def place(log: DecisionLog, request: str, server: str, attempt: int = 1) -> None:
+    log.placed(
+        request,
+        attempt=attempt,
+        server=server,
+        expected_seconds=0.25,
+        cached_tokens=10,
+        candidates=3,
+    )
+
+
+def refused_purchase() -> Process:
+    """Return a router that refused `a-1` on a stale view and served `a-2`."""
+    router = Process("edge-1")
+    router.log.configuration(11, in_force=True, source="store", row_version=40)
+    router.log.backend_server("s-1", Belief.READY, row_version=41)
+    router.log.backend_server("s-2", Belief.READY, row_version=42)
+    router.log.allotment(
+        "acme", AllotmentOutcome.GRANTED, tokens=900, balance=900, row_version=43
+    )
+    router.after(3).backend_server("s-2", Belief.SUSPECTED, reason="2 broken")
+    router.after(1).peer("edge-9:1", Contact.LOST, silent_seconds=2.0)
+    router.after(1).admitted(
+        "a-1",
+        route="shop",
+        customer="acme",
+        priority=1,
+        deadline_seconds=2.0,
+        configuration=11,
+    )
+    place(router.log, "a-2", "s-1")
+    router.after(0.5).refused(
+        "a-1", status=503, reason="no server in time", inputs={"servers": 1}
+    )
+    router.after(1).configuration(12, in_force=True, source="store", row_version=50)
+    return router
+
+
+class Logs(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+
+    def write(self, name: str, lines: list[bytes]) -> pathlib.Path:
+        path = self.directory / name
+        path.write_bytes(b"".join(lines))
+        return path
+
+    def explain(self, request: str, *logs: list[bytes]) -> porcelain.Explanation:
+        files = [self.write(f"{number}.log", log) for number, log in enumerate(logs)]
+        return porcelain.explain_request(request, files)
+
+
+class StoryTest(Logs):
+    def test_own_lines_in_order_each_with_the_state_in_force(self):
+        story = self.explain("a-1", refused_purchase().lines).story
+        self.assertEqual(
+            [step.record.kind for step in story.steps], ["admitted", "refused"]
+        )
+        state = story.steps[1].in_force
+        self.assertEqual(state.configuration.value, "11")
+        self.assertEqual(state.configuration.timestamp, NOON)
+        self.assertEqual(state.ready, 1)
+        self.assertEqual(state.impaired, {"s-2": "suspected"})
+        self.assertEqual(state.lost_peers, ["edge-9:1"])
+        self.assertEqual(state.allotment.value, "granted, 900")
+        self.assertEqual(story.notes, [])
+
+    def test_changes_between_steps_are_told_if_they_concern_the_request(self):
+        router = Process("edge-1")
+        place(router.log, "a-1", "s-1")
+        router.after(0.1).backend_server("s-7", Belief.GONE)
+        router.after(0.1).backend_server("s-1", Belief.GONE, reason="entry removed")
+        router.after(0.1).store(Contact.LOST)
+        router.after(0.1).sent_again(
+            "a-1",
+            attempt=1,
+            server="s-1",
+            reason="broken",
+            seconds_left=1.0,
+            attempts_left=1,
+        )
+        steps = self.explain("a-1", router.lines).story.steps
+        self.assertEqual(
+            [(step.record.kind, step.is_own) for step in steps],
+            [
+                ("placed", True),
+                ("backend_server", False),
+                ("store", False),
+                ("sent_again", True),
+            ],
+        )
+        self.assertEqual(steps[-1].in_force.server.value, "gone")
+        self.assertEqual(steps[-1].in_force.server.reason, "entry removed")
+        self.assertEqual(steps[-1].in_force.store.value, "lost")
+
+    def test_line_written_late_stands_at_its_decision(self):
+        router = refused_purchase()
+        first = next(n for n, line in enumerate(router.lines) if b"admitted" in line)
+        router.lines.append(router.lines.pop(first))
+        steps = self.explain("a-1", router.lines).story.steps
+        self.assertEqual([s.record.kind for s in steps], ["admitted", "refused"])
+        self.assertEqual(steps[0].in_force.configuration.value, "11")
+
+    def test_processes_are_merged_by_time_and_keep_their_own_state(self):
+        first, second = Process("edge-1"), Process("edge-2", NOON + 0.2)
+        first.log.configuration(1, in_force=True, source="store")
+        second.log.configuration(2, in_force=True, source="edge-1")
+        place(first.log, "a-1", "s-1")
+        place(second.log, "a-1", "s-2")
+        first.after(0.5).ended("a-1", status=499, outcome=Outcome.LEFT, seconds=0.5)
+        steps = self.explain("a-1", second.lines, first.lines).story.steps
+        self.assertEqual(
+            [(s.record.process.instance, s.record.kind) for s in steps],
+            [("edge-1", "placed"), ("edge-2", "placed"), ("edge-1", "ended")],
+        )
+        self.assertEqual(
+            [s.in_force.configuration.value for s in steps], ["1", "2", "1"]
+        )
+
+    def test_lives_under_one_instance_id_are_told_apart(self):
+        first, second = Process("edge-1"), Process("edge-1", NOON + 9)
+        second._head["incarnation"] = "edge-1.2"
+        first.log.configuration(1, in_force=True, source="store")
+        place(second.log, "a-1", "s-1")
+        steps = self.explain("a-1", first.lines + second.lines).story.steps
+        self.assertIsNone(steps[0].in_force.configuration)
+
+    def test_clock_that_jumps_does_not_change_the_order_and_is_noted(self):
+        router = Process("edge-1")
+        place(router.log, "a-1", "s-1")
+        router.offset -= 5
+        place(router.after(0.1), "a-1", "s-2", attempt=2)
+        router.offset += 5
+        router.after(0.1).ended("a-1", status=200, outcome=Outcome.ANSWERED, seconds=1)
+        story = self.explain("a-1", router.lines).story
+        self.assertEqual(
+            [s.record.kind for s in story.steps], ["placed", "placed", "ended"]
+        )
+        self.assertEqual(len(story.notes), 2)
+        self.assertIn("-5.0 s", story.notes[0])
+        self.assertIn("+5.0 s", story.notes[1])
+
+    def test_missing_lines_near_the_request_are_noted(self):
+        router = refused_purchase()
+        message = {"message_type": "lines_dropped", "lines": 31, "clock": router.now}
+        router._take({**message, "timestamp": NOON})
+        router._take({**message, "timestamp": NOON, "clock": router.now + 60})
+        notes = self.explain("a-1", router.lines).story.notes
+        dropped = [note for note in notes if "lines dropped: 31" in note]
+        self.assertEqual(len(dropped), 1)
+
+    def test_request_of_a_router_that_names_it_by_key(self):
+        line = {"message_type": "refused", "key": "acme/7", "status": 503}
+        line |= {"timestamp": NOON, "task_uuid": "u", "task_level": [1]}
+        steps = self.explain("acme/7", [json.dumps(line).encode()]).story.steps
+        self.assertEqual(steps[0].record.fields, {"status": 503})
+        self.assertTrue(str(steps[0].record.process).endswith("0.log"))
+
+
+class DamageTest(Logs):
+    def test_damaged_lines_are_counted_and_skipped(self):
+        lines = refused_purchase().lines
+        whole = self.explain("a-1", lines)
+        bad = [
+            b"Traceback (most recent call last):\n",
+            b"\xff\xfe\x00\n",
+            b'{"message_type":"placed","request":"a-1"\n',
+            b"[1,2]\n",
+            b'{"message_type":5}\n',
+            lines[0][:40] + lines[1],
+        ]
+        mixed = bad[:3] + lines + bad[3:] + [b"\n", lines[0][:-9]]
+        damaged = self.explain("a-1", mixed)
+        self.assertEqual(damaged.tally.damaged, 7)
+        self.assertEqual(damaged.story, whole.story)
+
+    def test_words_of_a_collector_before_the_message_are_passed_over(self):
+        lines = [b"Dec 04 edge-1 router[7]: " + x for x in refused_purchase().lines]
+        explanation = self.explain("a-1", lines)
+        self.assertEqual(explanation.tally.damaged, 0)
+        self.assertEqual(len(explanation.story.steps), 2)
+
+    def test_nothing_found_raises_with_counts(self):
+        with self.assertRaises(BluebellshoreError) as caught:
+            self.explain("a-9", refused_purchase().lines, [b"{damaged\n"])
+        self.assertIn("11 lines, 1 of them damaged", str(caught.exception))
+
+
+class ExplainCommandTest(unittest.IsolatedAsyncioTestCase, Logs):
+    async def test_prints_steps_state_and_changes(self):
+        path = self.write("a.log", refused_purchase().lines)
+        code, output, _ = await command("explain", "a-1", str(path))
+        self.assertEqual(code, ExitCode.OK)
+        self.assertIn("request a-1: 2 of 10 lines\n", output)
+        self.assertIn("edge-1.1", output)
+        self.assertIn("refused: status=503 reason='no server in time'", output)
+        self.assertIn("inputs=(servers=1)", output)
+        self.assertIn("configuration in force: 11 since 08:00:00.000", output)
+        self.assertIn("backend servers: 1 ready, s-2 suspected", output)
+        self.assertIn("lost routers: edge-9:1", output)
+        self.assertIn("state as before", output)
+        self.assertNotIn("a-2", output)
+
+    async def test_short_budget_shows_the_balance_it_rests_on(self):
+        router = Process("edge-1")
+        router.log.allotment(
+            "acme", AllotmentOutcome.USED_UP, tokens=0, balance=12, row_version=9
+        )
+        router.after(2).budget(
+            "a-1",
+            customer="acme",
+            outcome=BudgetOutcome.SHORT,
+            tokens=40,
+            balance=12,
+            balance_age_seconds=2.0,
+        )
+        path = self.write("a.log", router.lines)
+        _, output, _ = await command("explain", "a-1", str(path))
+        self.assertIn("balance=12 balance_age_seconds=2", output)
+        self.assertIn("allotment, balance: used-up, 12 since 08:00:00", output)
+
+    async def test_json_holds_the_whole_story(self):
+        path = self.write("a.log", [b"damaged\n", *refused_purchase().lines])
+        _, output, _ = await command("explain", "a-1", str(path), "--json")
+        explanation = json.loads(output)
+        self.assertEqual(explanation["tally"], {"lines": 11, "damaged": 1})
+        self.assertEqual(len(explanation["story"]["steps"]), 2)
+
+    async def test_nothing_found_gives_code_1_and_a_missing_file_too(self):
+        path = self.write("a.log", refused_purchase().lines)
+        code, output, errors = await command("explain", "a-9", str(path))
+        self.assertEqual((code, output), (ExitCode.FAILED, ""))
+        self.assertIn("explain (a-9): nothing about this request", errors)
+        code, _, errors = await command("explain", "a-1", str(path) + ".none")
+        self.assertEqual(code, ExitCode.FAILED)
+        self.assertIn("No such file", errors)
+
+    async def test_reads_standard_input(self):
+        process = await asyncio.create_subprocess_exec(
+            "sh",
+            "-c",
+            f".venv/bin/python -m bluebellshore explain a-1 < "
+            f"{self.write('a.log', refused_purchase().lines)}",
+            cwd=pathlib.Path(__file__).parent.parent,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        self.assertIn(b"2 of 10 lines", output)
+
+
+if __name__ == "__main__":
+    unittest.main()
