--- a/bluebellshore/cli/main.py
+++ b/bluebellshore/cli/main.py
@@ -17,7 +17,12 @@
     MoveCommand,
     StateCommand,
 )
-from bluebellshore.cli.serving import RouterCommand, SidecarCommand, StandinCommand
+from bluebellshore.cli.serving import (
+    EntryCommand,
+    RouterCommand,
+    SidecarCommand,
+    StandinCommand,
+)
 from bluebellshore.cli.trials import (
     DemoCommand,
     ExperimentCommand,
@@ -59,7 +64,8 @@
     """Router fleet for prepaid token budgets."""
 
     subcommand: cappa.Subcommands[
-        RouterCommand
+        EntryCommand
+        | RouterCommand
         | SidecarCommand
         | StandinCommand
         | BundleCommand
