Add settings check FILE and the line of an attempt that nothing follows

Cause: a bad settings file shows only when the process starts; a failed attempt that is not sent again left no line that says why. Not measured.

--- a/bluebellshore/cli/main.py
+++ b/bluebellshore/cli/main.py
@@ -23,6 +23,7 @@
     SidecarCommand,
     StandinCommand,
 )
+from bluebellshore.cli.settings import SettingsCommand
 from bluebellshore.cli.trials import (
     DemoCommand,
     ExperimentCommand,
@@ -73,6 +74,7 @@
         | BudgetCommand
         | StateCommand
         | ExplainCommand
+        | SettingsCommand
         | LocalCommand
         | DemoCommand
         | LoadCommand
--- a/bluebellshore/decisions/kinds.py
+++ b/bluebellshore/decisions/kinds.py
@@ -23,6 +23,7 @@
     WAITED = "waited"
     PLACED = "placed"
     SENT_AGAIN = "sent_again"
+    GIVEN_UP = "given_up"
     PAUSED = "paused"
     REFUSED = "refused"
     BUDGET = "budget"
@@ -50,6 +51,7 @@
         Kind.WAITED,
         Kind.PLACED,
         Kind.SENT_AGAIN,
+        Kind.GIVEN_UP,
         Kind.PAUSED,
         Kind.REFUSED,
         Kind.BUDGET,
--- a/bluebellshore/decisions/requests.py
+++ b/bluebellshore/decisions/requests.py
@@ -157,6 +157,40 @@
             grave=True,
         )
 
+    def given_up(
+        self,
+        request: str,
+        *,
+        attempt: int,
+        server: str,
+        reason: str,
+        why: str,
+        seconds_left: float,
+        retries_left: float | None = None,
+        events: int | None = None,
+    ) -> None:
+        """Log that an attempt failed and no other follows.
+
+        :param reason: how the attempt failed.
+        :param why: why it is not sent again, e.g. that it may have run.
+        :param retries_left: repeats that the service may still get in its window.
+        :param events: events that the caller has already.
+        """
+        self.of_request(
+            Kind.GIVEN_UP,
+            request,
+            {
+                "attempt": attempt,
+                "server": server,
+                "reason": reason,
+                "why": why,
+                "seconds_left": seconds_left,
+                "retries_left": retries_left,
+                "events": events,
+            },
+            grave=True,
+        )
+
     def paused(
         self,
         request: str,
--- a/bluebellshore/porcelain/__init__.py
+++ b/bluebellshore/porcelain/__init__.py
@@ -9,6 +9,7 @@
     submit_file,
 )
 from bluebellshore.porcelain.explaining import Explanation, explain_request
+from bluebellshore.porcelain.checks import check_settings
 from bluebellshore.porcelain.readback import (
     BudgetView,
     MoveView,
@@ -29,6 +30,7 @@
     "RolloutView",
     "Submitted",
     "check_file",
+    "check_settings",
     "dump_state",
     "explain_request",
     "generate_key",
