Name every bad field of a platform settings file at once

Cause: a section was decoded as a whole, so only its first bad field was named; addresses without a port and negative times passed and failed later, in the middle of the start. Now each field is decoded on its own and named with its path, e.g. bounds.drainMs.

--- a/bluebellshore/platform/settings.py
+++ b/bluebellshore/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 from pathlib import Path
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -15,74 +16,71 @@
 MILLISECONDS = 1000.0
 
 
+#: ``host:port``, or nothing where a role does not serve it.
+_Address = Annotated[str, msgspec.Meta(pattern=r"^([^\s:]+:\d{1,5})?$")]
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _Message(msgspec.Struct, rename="camel"):
     """Base of messages; fields that are not named here are ignored."""
 
 
 class _Listen(_Message):
-    frontend: str = ""
-    readiness: str = ""
+    frontend: _Address = ""
+    readiness: _Address = ""
     #: Port between the fleet's own processes.
-    control_plane: str = ""
+    control_plane: _Address = ""
 
 
 class _Limits(_Message):
-    memory_mb: float = 0.0
-    file_descriptors: int = 0
+    memory_mb: _NotNegative = 0.0
+    file_descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class _Bounds(_Message):
-    contact_ms: float = 3000.0
-    drain_ms: float = 2000.0
-    grace_period_s: float = 8.0
-    config_apply_ms: float = 2000.0
-    retry_budget_ratio: float = 0.1
-    retry_window_s: float = 10.0
-    retry_budget_extra: float = 0.0
-    exposure_fraction: float = 0.1
-    exposure_tolerance: float = 0.0
-    rollback_ms: float = 5000.0
-    delivery_slack_ms: float = 100.0
-    reuse_window_s: float = 0.0
-    settle_ms: float = msgspec.field(default=1500.0, name="settle_ms")
+    contact_ms: _NotNegative = 3000.0
+    drain_ms: _NotNegative = 2000.0
+    grace_period_s: _NotNegative = 8.0
+    config_apply_ms: _NotNegative = 2000.0
+    retry_budget_ratio: _NotNegative = 0.1
+    retry_window_s: _NotNegative = 10.0
+    retry_budget_extra: _NotNegative = 0.0
+    exposure_fraction: _NotNegative = 0.1
+    exposure_tolerance: _NotNegative = 0.0
+    rollback_ms: _NotNegative = 5000.0
+    delivery_slack_ms: _NotNegative = 100.0
+    reuse_window_s: _NotNegative = 0.0
+    settle_ms: _NotNegative = msgspec.field(default=1500.0, name="settle_ms")
 
 
 class _Store(_Message):
-    address: str = ""
+    address: _Address = ""
 
 
 class _Settings(_Message):
     node_name: str = ""
     zone: str = ""
     listen_addresses: _Listen = msgspec.field(default_factory=_Listen)
-    seed_nodes: list[str] = msgspec.field(default_factory=list)
-    heartbeat_interval_ms: float = 1000.0
+    seed_nodes: list[_Address] = msgspec.field(default_factory=list)
+    heartbeat_interval_ms: _Positive = 1000.0
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     platform_settings: _Store = msgspec.field(default_factory=_Store)
 
 
+_MessageT = TypeVar("_MessageT", bound=_Message)
+
+
 def parse_settings_file(content: bytes) -> EntrySettings:
     """Return the settings that a file holds.
 
     :raises SettingsError: names every field that is bad or missing.
     """
-    try:
-        fields = msgspec.json.decode(content, type=dict[str, msgspec.Raw])
-    except msgspec.MsgspecError as error:
-        raise SettingsError([f"not a JSON object: {error}"]) from error
     problems: list[str] = []
-    values = {}
-    for field in msgspec.structs.fields(_Settings):
-        raw = fields.get(field.encode_name)
-        if raw is None:
-            continue
-        try:
-            values[field.name] = msgspec.json.decode(raw, type=field.type)
-        except msgspec.MsgspecError as error:
-            problems.append(f"{field.encode_name}: {error}")
-    message = _Settings(**values)
-    problems += _missing(message, bad={problem.split(":")[0] for problem in problems})
+    message = _decode(_Settings, content, "", problems)
+    if message is not None:
+        problems += _missing(message, problems)
     if problems:
         raise SettingsError(problems)
     return _settings(message)
@@ -103,15 +101,46 @@
         raise SettingsError([f"{path}: {error.strerror}"]) from error
 
 
-def _missing(message: _Settings, bad: set[str]) -> list[str]:
+def _decode(
+    message_type: type[_MessageT], raw: bytes, path: str, problems: list[str]
+) -> _MessageT | None:
+    """Decode a message field by field, so that every bad one is named."""
+    try:
+        fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+    except msgspec.MsgspecError as error:
+        problems.append(f"{path or 'file'}: {error}")
+        return None
+    values = {}
+    for field in msgspec.structs.fields(message_type):
+        value = fields.get(field.encode_name)
+        if value is None:
+            continue
+        name = f"{path}.{field.encode_name}" if path else field.encode_name
+        if isinstance(field.type, type) and issubclass(field.type, _Message):
+            section = _decode(field.type, value, name, problems)
+            if section is not None:
+                values[field.name] = section
+            continue
+        try:
+            values[field.name] = msgspec.json.decode(value, type=field.type)
+        except msgspec.MsgspecError as error:
+            problems.append(f"{name}: {error}")
+    return message_type(**values)
+
+
+def _missing(message: _Settings, problems: list[str]) -> list[str]:
     required = {
         "nodeName": message.node_name,
         "zone": message.zone,
-        "listenAddresses": message.listen_addresses.frontend,
-        "platformSettings": message.platform_settings.address,
+        "listenAddresses.frontend": message.listen_addresses.frontend,
+        "platformSettings.address": message.platform_settings.address,
     }
-    names = [name for name, value in required.items() if not value and name not in bad]
-    return [f"{name}: missing" for name in names]
+    bad = {problem.partition(":")[0] for problem in problems}
+    return [
+        f"{name}: missing"
+        for name, value in required.items()
+        if not value and not bad & {name, name.partition(".")[0]}
+    ]
 
 
 def _settings(message: _Settings) -> EntrySettings:
--- a/bluebellshore/porcelain/__init__.py
+++ b/bluebellshore/porcelain/__init__.py
@@ -8,8 +8,8 @@
     sign_file,
     submit_file,
 )
-from bluebellshore.porcelain.explaining import Explanation, explain_request
 from bluebellshore.porcelain.checks import check_settings
+from bluebellshore.porcelain.explaining import Explanation, explain_request
 from bluebellshore.porcelain.readback import (
     BudgetView,
     MoveView,
