Test the measures of entry routers; count lost log lines among them

Cause: lines that were left out or dropped showed in the log only, which is what fails then. Histograms of requests now differ by kind of route, as their objectives do. Series whose only value is the time of their creation are off, and those of the process are in.

--- a/bluebellshore/decisions/lines.py
+++ b/bluebellshore/decisions/lines.py
@@ -23,6 +23,7 @@
     :param send: takes a message; None for all destinations of eliot.
     :param clock: monotonic seconds.
     :param wall_clock: Unix seconds.
+    :ivar left_out: lines since the start that were not sent, as far as reported.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self._held = HeldLines(self._limits.held_lines)
         self._left_out: Counter[str] = Counter()
         self._reported_at = clock()
+        self.left_out = 0
 
     def of_request(
         self, kind: Kind, request: str, fields: Inputs, *, grave: bool = False
@@ -114,6 +116,7 @@
         self._reported_at = now
         counts = self._left_out + self._held.discarded
         if counts:
+            self.left_out += counts.total()
             self._left_out.clear()
             self._held.discarded.clear()
             self._send(self._line(Kind.LEFT_OUT, now, {"lines": dict(counts)}))
--- a/bluebellshore/decisions/log.py
+++ b/bluebellshore/decisions/log.py
@@ -16,7 +16,17 @@
 
 
 class DecisionLog(RequestLines, ChangeLines):
-    """One method for each kind of decision and each change of belief."""
+    """One method for each kind of decision and each change of belief.
+
+    :ivar writer: writes the lines out; None where they go elsewhere.
+    """
+
+    writer: LineWriter | None = None
+
+    @property
+    def dropped(self) -> int:
+        """Lines since the start that were lost because nobody read them in time."""
+        return 0 if self.writer is None else self.writer.dropped
 
 
 @contextlib.contextmanager
@@ -39,8 +49,11 @@
         descriptor = sys.stdout.fileno()
     writer = LineWriter(descriptor, {"instance": instance, "incarnation": incarnation})
     eliot.add_destinations(writer)
+    log = DecisionLog(level=level, limits=limits)
+    log.writer = writer
     try:
-        yield DecisionLog(level=level, limits=limits)
+        yield log
     finally:
+        log.report()
         eliot.remove_destination(writer)
         writer.close()
--- a/bluebellshore/entry/measures.py
+++ b/bluebellshore/entry/measures.py
@@ -3,7 +3,14 @@
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    disable_created_metrics,
+)
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 __all__ = ["EntryMeasures", "measures_handler"]
@@ -14,9 +21,13 @@
 PAUSE_BUCKETS = (0.01, 0.025, 0.049, 0.1, 0.2, 0.4, 0.8, 1.6, 5)
 #: Values of a label beyond those that are known; keeps the number of series bounded.
 OTHER = "other"
-#: Values that one label may take.
+#: Values that one label may take; the longest fixed set, HTTP statuses that the
+#: router answers itself, has fewer than half as many.
 MAX_LABEL_VALUES = 24
 
+# The time at which each series began would double the number of series.
+disable_created_metrics()
+
 
 class _Labels:
     """Lets a bounded number of values of a label through."""
@@ -38,11 +49,13 @@
 
     Labels take words from small fixed sets; a word too many counts as ``other``.
 
-    :param registry: None for one of its own.
+    :ivar registry: holds all series, and those of the process itself.
     """
 
-    def __init__(self, registry: CollectorRegistry | None = None):
-        self.registry = registry or CollectorRegistry(auto_describe=False)
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry(auto_describe=False)
+        ProcessCollector(registry=self.registry)
+        self._lost_lines = {"left-out": 0, "dropped": 0}
         self._labels_by_name: dict[str, _Labels] = {}
         self._requests = self._counter(
             "requests", "Requests by how they ended.", "route_kind", "outcome"
@@ -63,10 +76,13 @@
             "log_lines_lost", "Log lines that were not written.", "cause"
         )
         self._first_event = self._histogram(
-            "first_event_seconds", "Time to the first event.", LATENCY_BUCKETS
+            "first_event_seconds",
+            "Time to the first event.",
+            LATENCY_BUCKETS,
+            "route_kind",
         )
         self._duration = self._histogram(
-            "request_seconds", "Time to the end.", LATENCY_BUCKETS
+            "request_seconds", "Time to the end.", LATENCY_BUCKETS, "route_kind"
         )
         self._waiting = self._histogram(
             "waiting_seconds", "Time before an attempt was sent.", LATENCY_BUCKETS
@@ -91,9 +107,15 @@
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"bluebellshore_{name}", text, labels, registry=self.registry)
 
-    def _histogram(self, name: str, text: str, buckets: tuple) -> Histogram:
+    def _histogram(
+        self, name: str, text: str, buckets: tuple, *labels: str
+    ) -> Histogram:
         return Histogram(
-            f"bluebellshore_{name}", text, buckets=buckets, registry=self.registry
+            f"bluebellshore_{name}",
+            text,
+            labels,
+            buckets=buckets,
+            registry=self.registry,
         )
 
     def _gauge(self, name: str, text: str) -> Gauge:
@@ -113,12 +135,11 @@
         longest_pause_seconds: float | None = None,
     ) -> None:
         """Count a request that ended, refused ones as well."""
-        self._requests.labels(
-            self._word("route_kind", route_kind), self._word("outcome", outcome)
-        ).inc()
-        self._duration.observe(seconds)
+        kind = self._word("route_kind", route_kind)
+        self._requests.labels(kind, self._word("outcome", outcome)).inc()
+        self._duration.labels(kind).observe(seconds)
         if first_event_seconds is not None:
-            self._first_event.observe(first_event_seconds)
+            self._first_event.labels(kind).observe(first_event_seconds)
         if longest_pause_seconds is not None:
             self._pause.observe(longest_pause_seconds)
 
@@ -161,9 +182,11 @@
         """Count tokens that were asked for and not granted."""
         self._tokens.labels("short").inc(tokens)
 
-    def lines_lost(self, cause: str, lines: int) -> None:
-        """Count log lines that were not written."""
-        self._lines.labels(self._word("cause", cause)).inc(lines)
+    def lines_lost(self, *, left_out: int, dropped: int) -> None:
+        """Take over the log's counts of lines since the start."""
+        for cause, lines in (("left-out", left_out), ("dropped", dropped)):
+            self._lines.labels(cause).inc(lines - self._lost_lines[cause])
+            self._lost_lines[cause] = lines
 
     def work(self, *, active: int, waiting: int) -> None:
         """Set what is in hand."""
--- a/tests/test_decisions_volume.py
+++ b/tests/test_decisions_volume.py
@@ -183,6 +183,7 @@
         left_out = sum(sum(line["lines"].values()) for line in reports)
         written = len(sent) - len(reports) - 1
         self.assertEqual(written + left_out, calls)
+        self.assertEqual(log.left_out, left_out)
         self.assertLess(written, 60)
         times = [line["clock"] for line in reports]
         # Two while it runs for 2.5 s and one at its end.
--- a/tests/test_decisions_writer.py
+++ b/tests/test_decisions_writer.py
@@ -130,6 +130,7 @@
                 log.reloaded(text="x" * 100)
             await task
             self.assertEqual(ticks, 20)
+            self.assertGreater(log.dropped, 0)
             os.close(read_end)
         os.close(write_end)
 
--- /dev/null
+++ b/tests/test_entry_measures.py
@@ -0,0 +1,149 @@
+"""Tests of what an entry router counts and serves as metrics."""
+
+import unittest
+
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+from prometheus_client import generate_latest
+from prometheus_client.parser import text_string_to_metric_families
+
+from bluebellshore.entry.measures import EntryMeasures, measures_handler
+
+
+def samples_of(text: str) -> dict[tuple, float]:
+    """Return values by name and labels."""
+    return {
+        (sample.name.removeprefix("bluebellshore_"), *sorted(sample.labels.items())): (
+            sample.value
+        )
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+def text_of(measures: EntryMeasures) -> str:
+    return generate_latest(measures.registry).decode()
+
+
+def fill(measures: EntryMeasures, word: str = "") -> None:
+    """Call every method once."""
+    measures.request_ended(
+        f"stream{word}",
+        f"completed{word}",
+        2.0,
+        first_event_seconds=0.3,
+        longest_pause_seconds=0.06,
+    )
+    measures.refused(503, f"queue{word}")
+    measures.attempt_ended(f"broken{word}")
+    measures.waited(0.02)
+    measures.store_called(f"read{word}", f"ok{word}", 0.005)
+    measures.tokens_reserved(100)
+    measures.tokens_settled(70)
+    measures.tokens_short(40)
+    measures.lines_lost(left_out=5, dropped=2)
+    measures.work(active=4, waiting=1)
+    measures.view(peers=3, servers=9, suspected=1)
+    measures.configuration(12, 0.4)
+    measures.store_lost(True)
+
+
+class CountTest(unittest.TestCase):
+    def test_every_method_shows_in_its_series(self):
+        measures = EntryMeasures()
+        fill(measures)
+        samples = samples_of(text_of(measures))
+        stream = ("route_kind", "stream")
+        expected = {
+            ("requests_total", ("outcome", "completed"), stream): 1,
+            ("refusals_total", ("reason", "queue"), ("status", "503")): 1,
+            ("attempts_total", ("result", "broken")): 1,
+            ("store_calls_total", ("call", "read"), ("result", "ok")): 1,
+            ("tokens_total", ("state", "reserved")): 100,
+            ("tokens_total", ("state", "settled")): 70,
+            ("tokens_total", ("state", "short")): 40,
+            ("log_lines_lost_total", ("cause", "left-out")): 5,
+            ("log_lines_lost_total", ("cause", "dropped")): 2,
+            ("first_event_seconds_bucket", ("le", "0.35"), stream): 1,
+            ("first_event_seconds_bucket", ("le", "0.2"), stream): 0,
+            ("request_seconds_sum", stream): 2.0,
+            ("waiting_seconds_count",): 1,
+            ("longest_pause_seconds_bucket", ("le", "0.049")): 0,
+            ("longest_pause_seconds_bucket", ("le", "0.1")): 1,
+            ("store_call_seconds_count",): 1,
+            ("requests_active",): 4,
+            ("requests_waiting",): 1,
+            ("peers_alive",): 3,
+            ("servers_usable",): 9,
+            ("servers_suspected",): 1,
+            ("configuration_number",): 12,
+            ("configuration_age_seconds",): 0.4,
+            ("store_lost",): 1,
+        }
+        for key, value in expected.items():
+            self.assertEqual(samples.get(key), value, key)
+
+    def test_counts_of_lost_lines_are_taken_over_not_added(self):
+        measures = EntryMeasures()
+        for left_out in (5, 5, 8):
+            measures.lines_lost(left_out=left_out, dropped=0)
+        samples = samples_of(text_of(measures))
+        self.assertEqual(samples["log_lines_lost_total", ("cause", "left-out")], 8)
+
+    def test_two_routers_in_one_process_count_apart(self):
+        first, second = EntryMeasures(), EntryMeasures()
+        fill(first)
+        self.assertNotIn('result="broken"', text_of(second))
+
+
+class SeriesTest(unittest.TestCase):
+    def test_number_of_series_is_bounded_whatever_the_words(self):
+        measures = EntryMeasures()
+        for number in range(40):
+            fill(measures, str(number))
+        bounded = samples_of(text_of(measures))
+        for number in range(40, 400):
+            fill(measures, str(number))
+        samples = samples_of(text_of(measures))
+        self.assertEqual(samples.keys(), bounded.keys())
+        other = samples["attempts_total", ("result", "other")]
+        self.assertEqual(other, 400 - 24)
+
+    def test_no_series_carries_a_customer_or_request(self):
+        measures = EntryMeasures()
+        fill(measures)
+        labels = {
+            label
+            for family in measures.registry.collect()
+            for sample in family.samples
+            for label in sample.labels
+        }
+        self.assertEqual(
+            labels,
+            {"call", "cause", "le", "outcome", "reason", "result"}
+            | {"route_kind", "state", "status"},
+        )
+
+
+class HandlerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_serves_text_after_a_refresh(self):
+        measures = EntryMeasures()
+        calls = []
+
+        def refresh() -> None:
+            calls.append(1)
+            measures.work(active=len(calls), waiting=0)
+
+        app = web.Application()
+        app.router.add_get("/m", measures_handler(measures.registry, refresh))
+        async with TestClient(TestServer(app)) as client:
+            for number in (1, 2):
+                answer = await client.get("/m")
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.content_type, "text/plain")
+                samples = samples_of(await answer.text())
+                self.assertEqual(samples["requests_active",], number)
+
+
+if __name__ == "__main__":
+    unittest.main()
