--- a/bluebellshore/decisions/lines.py
+++ b/bluebellshore/decisions/lines.py
@@ -99,7 +99,7 @@
             # Lines that were held back are written late; this tells their order.
             "clock": now,
         }
-        if request is not None:
+        if request:
             line["request"] = request
         for name, value in fields.items():
             if value is not None:
--- a/bluebellshore/decisions/requests.py
+++ b/bluebellshore/decisions/requests.py
@@ -228,6 +228,7 @@
         *,
         status: int,
         reason: str,
+        step: str = "",
         run: str = "not-run",
         retry_after: float | None = None,
         inputs: Inputs | None = None,
@@ -235,6 +236,8 @@
     ) -> None:
         """Log that a request was turned away.
 
+        :param request: empty where the caller gave no id.
+        :param step: where it was decided; a word of a fixed set.
         :param run: whether it is known not to have run.
         :param retry_after: seconds told to the caller.
         :param inputs: what decided it, with ages or versions.
@@ -245,6 +248,7 @@
             {
                 "status": status,
                 "reason": reason,
+                "step": step or None,
                 "run": run,
                 "retry_after": retry_after,
                 "configuration": configuration,
