--- a/bluebellshore/decisions/story.py
+++ b/bluebellshore/decisions/story.py
@@ -14,6 +14,7 @@
 #: Time before and after a request within which lines that are missing concern it.
 #: Lines that were left out are counted once a second.
 NEAR_SECONDS = 2.0
+_ENDS = (Kind.ENDED.value, Kind.REFUSED.value)
 _MISSING = (Kind.LEFT_OUT.value, Kind.LINES_DROPPED.value)
 _ALWAYS_SHOWN = frozenset(
     kind.value
@@ -151,6 +152,7 @@
         if any(record.request for record in records):
             threads.append(_process_steps(records))
             story.notes += _notes(process, records)
+            story.notes += _end_notes(process, records, records_by_process)
     story.steps = list(_merged(threads))
     return story
 
@@ -210,6 +212,36 @@
             yield f"{process}: {kind}: {record.fields.get('lines')}"
 
 
+def _end_notes(
+    process: ProcessId,
+    records: list[Record],
+    records_by_process: dict[ProcessId, list[Record]],
+) -> Iterator[str]:
+    """Tell what became of a process that wrote no end of the request."""
+    if any(record.request and record.kind in _ENDS for record in records):
+        return
+    text = f"{process}: no line tells how the request ended here"
+    if records[-1].kind == Kind.STOPPED.value:
+        yield f"{text}; the process stopped in order after it"
+        return
+    next_lives = [
+        record.timestamp
+        for other, others in records_by_process.items()
+        for record in others
+        if other.instance == process.instance
+        and other != process
+        and record.kind == Kind.STARTED.value
+        and record.timestamp > records[-1].timestamp
+    ]
+    if next_lives:
+        seconds = min(next_lives) - records[-1].timestamp
+        text += (
+            f"; the process was killed or failed, its successor started {seconds:.1f}"
+        )
+        text += " s after the last line that is shown or tells of beliefs"
+    yield text
+
+
 def _clock_shift(before: Record, after: Record) -> float:
     if before.clock is None or after.clock is None:
         return 0.0
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -188,7 +188,7 @@
         self.assertEqual(
             [s.record.kind for s in story.steps], ["placed", "placed", "ended"]
         )
-        self.assertEqual(len(story.notes), 2)
+        self.assertEqual(len(story.notes), 2, story.notes)
         self.assertIn("-5.0 s", story.notes[0])
         self.assertIn("+5.0 s", story.notes[1])
 
@@ -201,6 +201,21 @@
         dropped = [note for note in notes if "lines dropped: 31" in note]
         self.assertEqual(len(dropped), 1)
 
+    def test_request_without_an_end_tells_what_became_of_the_process(self):
+        first, second = Process("edge-1"), Process("edge-1", NOON + 2.5)
+        second._head["incarnation"] = "edge-1.2"
+        place(first.log, "a-1", "s-1")
+        notes = self.explain("a-1", first.lines).story.notes
+        self.assertEqual(notes, ["edge-1.1: no line tells how the request ended here"])
+        second.log.started("entry")
+        [note] = self.explain("a-1", first.lines, second.lines).story.notes
+        self.assertIn("killed or failed, its successor started 2.5 s after", note)
+        first.after(1).stopped()
+        [note] = self.explain("a-1", first.lines, second.lines).story.notes
+        self.assertIn("stopped in order", note)
+        first.log.ended("a-1", status=200, outcome=Outcome.ANSWERED, seconds=1)
+        self.assertEqual(self.explain("a-1", first.lines).story.notes, [])
+
     def test_request_of_a_router_that_names_it_by_key(self):
         line = {"message_type": "refused", "key": "acme/7", "status": 503}
         line |= {"timestamp": NOON, "task_uuid": "u", "task_level": [1]}
