--- a/bluebellshore/decisions/story.py
+++ b/bluebellshore/decisions/story.py
@@ -235,10 +235,8 @@
     ]
     if next_lives:
         seconds = min(next_lives) - records[-1].timestamp
-        text += (
-            f"; the process was killed or failed, its successor started {seconds:.1f}"
-        )
-        text += " s after the last line that is shown or tells of beliefs"
+        text += "; the process was killed or failed, its successor started "
+        text += f"{seconds:.1f} s after the last line that concerns it"
     yield text
 
 
