--- a/tests/test_decisions_writer.py
+++ b/tests/test_decisions_writer.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import pathlib
 import subprocess
 import sys
 import threading
@@ -13,6 +14,7 @@
 from bluebellshore.decisions import LineWriter, open_decision_log
 from bluebellshore.decisions.writer import encode_line
 
+ROOT = pathlib.Path(__file__).parent.parent
 FIELDS = {"instance": "i-1", "incarnation": "i-1.x"}
 
 
@@ -146,7 +148,7 @@
             "    log.stopped()\n"
         )
         done = subprocess.run(
-            [sys.executable, "-c", program], capture_output=True, check=True
+            [sys.executable, "-c", program], cwd=ROOT, capture_output=True, check=True
         )
         lines = [json.loads(line) for line in done.stdout.splitlines()]
         self.assertEqual(
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import sys
 import tempfile
 import unittest
 
@@ -17,7 +18,7 @@
     Outcome,
 )
 from bluebellshore.errors import BluebellshoreError
-from tests.test_cli import command
+from tests.test_cli import ROOT, command
 
 NOON = 1_800_000_000.0
 
@@ -303,15 +304,14 @@
         self.assertIn("No such file", errors)
 
     async def test_reads_standard_input(self):
-        process = await asyncio.create_subprocess_exec(
-            "sh",
-            "-c",
-            f".venv/bin/python -m bluebellshore explain a-1 < "
-            f"{self.write('a.log', refused_purchase().lines)}",
-            cwd=pathlib.Path(__file__).parent.parent,
-            stdout=asyncio.subprocess.PIPE,
-        )
-        output, _ = await process.communicate()
+        with self.write("a.log", refused_purchase().lines).open("rb") as log:
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "bluebellshore", "explain", "a-1"),
+                cwd=ROOT,
+                stdin=log,
+                stdout=asyncio.subprocess.PIPE,
+            )
+            output, _ = await process.communicate()
         self.assertIn(b"2 of 10 lines", output)
 
 
