--- a/bluebellshore/cli/main.py
+++ b/bluebellshore/cli/main.py
@@ -10,6 +10,7 @@
 import eliot
 
 from bluebellshore import __version__
+from bluebellshore.cli.explain import ExplainCommand
 from bluebellshore.cli.operators import (
     BudgetCommand,
     BundleCommand,
@@ -22,6 +23,7 @@
     SidecarCommand,
     StandinCommand,
 )
+from bluebellshore.cli.settings import SettingsCommand
 from bluebellshore.cli.trials import (
     DemoCommand,
     ExperimentCommand,
@@ -71,6 +73,8 @@
         | MoveCommand
         | BudgetCommand
         | StateCommand
+        | ExplainCommand
+        | SettingsCommand
         | LocalCommand
         | DemoCommand
         | LoadCommand
--- a/bluebellshore/porcelain/__init__.py
+++ b/bluebellshore/porcelain/__init__.py
@@ -8,6 +8,8 @@
     sign_file,
     submit_file,
 )
+from bluebellshore.porcelain.checks import check_settings
+from bluebellshore.porcelain.explaining import Explanation, explain_request
 from bluebellshore.porcelain.readback import (
     BudgetView,
     MoveView,
@@ -21,13 +23,16 @@
 
 __all__ = [
     "BudgetView",
+    "Explanation",
     "KeyView",
     "MoveView",
     "Rollout",
     "RolloutView",
     "Submitted",
     "check_file",
+    "check_settings",
     "dump_state",
+    "explain_request",
     "generate_key",
     "show_budgets",
     "show_moves",
