--- a/bluebellshore/budget/policy.py
+++ b/bluebellshore/budget/policy.py
@@ -24,7 +24,7 @@
 FIXED_TOKENS = Tokens(20_000)
 GRANT_SHARE = 0.1
 HORIZON_SHARE = 0.8
-STANDBY_SHARE = 0.3
+STANDBY_SHARE = 0.6
 #: Parts of the target below which tokens are drawn and above which they go back.
 STANDBY_REFILL = 0.75
 STANDBY_SURPLUS = 1.5
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -93,7 +93,15 @@
         self._backend = DirectBackend(
             ANSWER_HEADERS, max_connections=self._max_connections
         )
-        self._budgets = CustomerBudgets(self._store, instance_id, prepaid=self._prepaid)
+        self._budgets = CustomerBudgets(
+            self._store,
+            instance_id,
+            prepaid=self._prepaid,
+            customers=self._customers,
+            peers=self._peers,
+            store_time=lambda: self._store.time,
+            incarnation=self.incarnation,
+        )
         self._peers.lender = self._budgets.lender
         self._admission = Admission(
             self._knowledge,
@@ -121,10 +129,12 @@
         await self._start_ready_port()
         self.address = await self._ingress.start(settings.listen)
         await self._budgets.open()
+        self._knowledge.on_configuration = self._configured
         loops = (
             self._watch.run(),
             self._peers.run(),
             self._members.run(),
+            self._admission.run(),
             self._tick(),
         )
         self._tasks = [asyncio.create_task(loop) for loop in loops]
