Lose fewer tokens with a kill: caps of 3.5 s of burn, lapse 3.3 s

A quarter of all that is held was the larger part of the cap. Ruled out: a longer lapse (a killed process serves again 1.3 to 2.7 s after its last row by the logs).

--- a/bluebellshore/budget/direct.py
+++ b/bluebellshore/budget/direct.py
@@ -15,13 +15,13 @@
 DIRECT = IncarnationId("direct")
 #: Time after the last contact with the store from which caps no longer hold. A process
 #: that is killed must be back within it, for its caps to spare tokens.
-LAPSE_SECONDS = 4.0
+LAPSE_SECONDS = 3.3
 #: By how much this process's clock may be quicker than the store's.
 CLOCK_DRIFT = 0.05
 #: Caps leave room for so many seconds of the present burn, or for a part of what is
 #: held, whichever is more.
-ROOM_SECONDS = 5.0
-ROOM_SHARE = 0.25
+ROOM_SECONDS = 3.5
+ROOM_SHARE = 0.05
 #: Parts of the wanted cap between which the present one stays.
 KEEP_FROM, KEEP_TO = 0.8, 1.5
 
