Refuse early what is not expected to get a place in time

Suspicion took callers that left for timeouts and brought silent engines back only after whole streams.

Ruled out: holding up to 2 objectives or without bound.

Conclusion: the expected wait counts what more urgent kinds leave to a kind, and a request is taken only if it is below 0.3 objectives. An overdue attempt shows a lost server only when the server gave no event at all since; an event of an older stream brings the next probe forward.

--- a/bluebellshore/emulator/measures.py
+++ b/bluebellshore/emulator/measures.py
@@ -10,6 +10,9 @@
 
 __all__ = ["Measures", "Outcome"]
 
+#: What a late answer counts for.
+LATE_CREDIT = 0.3
+
 
 class Outcome(Enum):
     """How a request ended for its caller."""
@@ -62,6 +65,17 @@
         counts = self.by_customer[name]
         return counts[Outcome.IN_TIME] / max(1, counts.total())
 
+    @property
+    def credit(self) -> float:
+        """Share served, late answers in part."""
+        late = LATE_CREDIT * self.share(Outcome.LATE)
+        return self.share(Outcome.IN_TIME) + late
+
+    @property
+    def held_p95(self) -> float:
+        """Time for which 95 in 100 refused attempts were held at most, in seconds."""
+        return percentile(self.held_seconds, 0.95) if self.held_seconds else 0.0
+
     @property
     def worst_customer_share(self) -> float:
         """The least of the customers' shares."""
--- a/bluebellshore/emulator/router.py
+++ b/bluebellshore/emulator/router.py
@@ -47,7 +47,7 @@
 
     def withdraw(self, call: Call) -> bool: ...
 
-    def note_start(self, now: float) -> None: ...
+    def note_start(self, call: Call, now: float) -> None: ...
 
     def __len__(self) -> int: ...
 
@@ -134,7 +134,7 @@
         request.over = True
         self._queue(request).withdraw(call)
         if request.ticket is not None:
-            self._end(request, Result.TIMED_OUT)
+            self._end(request, Result.LEFT)
             server_id, run = request.server.server_id, request.run
             self._clock.after(
                 self._travel(request.server),
@@ -146,7 +146,7 @@
         queue = self._queue(request)
         decision = None if len(queue) else self._place(request)
         if isinstance(decision, Place):
-            queue.note_start(now)
+            queue.note_start(request.call, now)
             self._send(request, decision)
             return
         if not isinstance(decision, Refuse):
--- a/bluebellshore/emulator/traces.py
+++ b/bluebellshore/emulator/traces.py
@@ -147,6 +147,7 @@
 PLAN = Kind(
     _stream("plan", 0.8, 1), 16.0, ((2400, 5), (3600, 200)), 2500, 1.0, 20_000, 48
 )
+PLAN = msgspec.structs.replace(PLAN, deadline_seconds=6.0)
 QUESTION = Kind(_stream("question", 0.6, 0), 20.0, ((350, 12), (250, 240)), 1500, 1.2)
 QUESTION = msgspec.structs.replace(QUESTION, output_tokens=24)
 CHAT = Kind(_stream("chat", 0.6, 2), 12.0, ((120, 12), (80, 200)), 500, 0.9)
--- a/bluebellshore/experiments/placement.py
+++ b/bluebellshore/experiments/placement.py
@@ -22,6 +22,8 @@
     "late",
     "refused",
     "failed",
+    "credit",
+    "held p95 s",
     "first event p95 s",
     "pause p99 s",
     "shared tokens read again, k",
@@ -43,6 +45,8 @@
             f"{mean(trial.share(outcome) for trial in trials):.1%}"
             for outcome in Outcome
         ),
+        f"{mean(trial.credit for trial in trials):.1%}",
+        mean(trial.held_p95 for trial in trials),
         mean(trial.first_event_p95 for trial in trials),
         mean(trial.pause_p99 for trial in trials),
         round(mean(trial.read_again for trial in trials) / 1000),
--- a/bluebellshore/experiments/placement_policies.py
+++ b/bluebellshore/experiments/placement_policies.py
@@ -103,7 +103,7 @@
         """Remove a call whose caller left."""
         return self._calls.pop(call.attempt_id, None) is not None
 
-    def note_start(self, now: float) -> None:
+    def note_start(self, call: Call, now: float) -> None:
         """Ignore."""
 
 
--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -13,7 +13,7 @@
 
 from bluebellshore.fleet import BackendServer, Call, Service
 from bluebellshore.ids import BackendServerId, IncarnationId, PartId, ServiceName
-from bluebellshore.routing.parts import HeldParts
+from bluebellshore.routing.parts import HeldParts, UsedParts
 from bluebellshore.routing.results import Result, ResultCounts
 from bluebellshore.routing.speed import FirstEventSample, SpeedBook
 from bluebellshore.routing.suspicion import Suspicion
@@ -42,8 +42,8 @@
     :param running: requests sent and not ended.
     :param prefill_tokens: prompt tokens of those that showed no event yet, without
         what was expected to be cached.
-    :param held_tokens: tokens of memory that running requests hold at most, without
-        what was expected to be cached.
+    :param held_tokens: tokens of memory that running requests hold at most; parts
+        that several of a router's requests share count once.
     """
 
     running: int = 0
@@ -115,6 +115,7 @@
         self._own_by_server: dict[BackendServerId, ServerLoad] = {}
         self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
         self._parts_by_server: dict[BackendServerId, HeldParts] = {}
+        self._used_by_server: dict[BackendServerId, UsedParts] = {}
         self._new_parts: list[PartSeen] = []
 
     def configure(self, services: Iterable[Service]) -> None:
@@ -138,7 +139,12 @@
         cached = self.cached_tokens(call, server_id)
         missing = max(0, call.prompt_tokens - cached)
         ahead = self.load_of(server_id, now).prefill_tokens
-        load = ServerLoad(1, missing, max(0, call.most_tokens - cached))
+        used = self._used(server_id)
+        before = used.tokens
+        used.add(call.prompt)
+        own_tokens = max(0, call.most_tokens - sum(p.tokens for p in call.prompt))
+        load = ServerLoad(1, missing, own_tokens)
+        self._own(server_id).held_tokens += used.tokens - before
         new = [part for part in call.prompt if self._see(server_id, *part)]
         ticket = Ticket(next(self._numbers))
         self._attempts_by_ticket[ticket] = _Attempt(
@@ -185,7 +191,11 @@
             its last part.
         """
         attempt = self._attempts_by_ticket.pop(ticket)
-        self._own(attempt.server_id).add(attempt.load, sign=-1)
+        own, used = self._own(attempt.server_id), self._used(attempt.server_id)
+        own.add(attempt.load, sign=-1)
+        own.held_tokens -= used.tokens
+        used.remove(attempt.call.prompt)
+        own.held_tokens += used.tokens
         if result is Result.ANSWERED:
             if ticket in self._unconfirmed:
                 self._learn(attempt, now)
@@ -226,6 +236,10 @@
         parts = self._parts_by_server.get(server_id)
         return 0 if parts is None else parts.cached_tokens(call.prompt)
 
+    def needed_tokens(self, call: Call, server_id: BackendServerId) -> int:
+        """Return the memory that a request would take beyond what is in use."""
+        return call.most_tokens - self._used(server_id).shared_tokens(call.prompt)
+
     def report(self) -> LoadReport:
         """Return what peers are told; parts and results are told once."""
         parts, self._new_parts = self._new_parts, []
@@ -254,11 +268,15 @@
             own = self._own_by_server.get(server_id)
             if own is not None and not own.running:
                 del self._own_by_server[server_id]
+                self._used_by_server.pop(server_id, None)
                 self._service_by_server.pop(server_id, None)
 
     def _own(self, server_id: BackendServerId) -> ServerLoad:
         return self._own_by_server.setdefault(server_id, ServerLoad())
 
+    def _used(self, server_id: BackendServerId) -> UsedParts:
+        return self._used_by_server.setdefault(server_id, UsedParts())
+
     def _see(self, server_id: BackendServerId, part_id: PartId, tokens: int) -> bool:
         parts = self._parts_by_server.get(server_id)
         if parts is None:
--- a/bluebellshore/routing/parts.py
+++ b/bluebellshore/routing/parts.py
@@ -5,12 +5,13 @@
 dropped the part long ago.
 """
 
+from collections import Counter
 from collections.abc import Sequence
 
 from bluebellshore.fleet import PromptPart
 from bluebellshore.ids import PartId
 
-__all__ = ["HeldParts"]
+__all__ = ["HeldParts", "UsedParts"]
 
 #: Parts remembered of a server whose memory is not known.
 MOST_PARTS = 4096
@@ -58,3 +59,32 @@
         if len(self._tokens_by_part) > MOST_PARTS:
             return True
         return 0 < self._limit_tokens < self._total
+
+
+class UsedParts:
+    """Parts that running requests of one engine use; each counts once.
+
+    :ivar tokens: their size.
+    """
+
+    def __init__(self) -> None:
+        self._uses: Counter[PartId] = Counter()
+        self.tokens = 0
+
+    def add(self, parts: Sequence[PromptPart]) -> None:
+        """Begin the use of a prompt."""
+        for part in parts:
+            self.tokens += 0 if self._uses[part.part_id] else part.tokens
+            self._uses[part.part_id] += 1
+
+    def remove(self, parts: Sequence[PromptPart]) -> None:
+        """End the use of a prompt."""
+        for part in parts:
+            self._uses[part.part_id] -= 1
+            if not self._uses[part.part_id]:
+                del self._uses[part.part_id]
+                self.tokens -= part.tokens
+
+    def shared_tokens(self, parts: Sequence[PromptPart]) -> int:
+        """Return the tokens of a prompt that are in use already."""
+        return sum(part.tokens for part in parts if part.part_id in self._uses)
--- a/bluebellshore/routing/placement.py
+++ b/bluebellshore/routing/placement.py
@@ -35,6 +35,9 @@
 BACKLOG_SHARE = 0.6
 BACKLOG_STEP = 0.1
 LEAST_BACKLOG_SHARE = 0.3
+#: Part of an engine's slots that each step down in urgency may not take, and the most.
+KEPT_SHARE = 0.06
+MOST_KEPT_SHARE = 0.2
 #: Time after which a caller may come back when no server is known or usable.
 NO_SERVER_RETRY_SECONDS = 0.5
 #: Time after which a request larger than every engine may come back: never helps.
@@ -181,13 +184,15 @@
         return 0 if engine is None else engine.cache_tokens
 
     def _has_room(self, call: Call, option: Option) -> bool:
-        load = option.load
-        if load.running >= option.server.slots:
+        load, slots = option.load, option.server.slots
+        kept = min(KEPT_SHARE * call.priority, MOST_KEPT_SHARE) if call.prompt else 0.0
+        if load.running >= max(1, int(slots * (1 - kept))):
             return False
         memory = self._memory_of(option.server)
         if not memory or not load.running:
             return True
-        return load.held_tokens + call.most_tokens - option.cached_tokens <= memory
+        needed = self._book.needed_tokens(call, option.server.server_id)
+        return load.held_tokens + needed <= memory
 
     def _is_soon(self, call: Call, option: Option) -> bool:
         """Whether the engine's backlog leaves the request its objective."""
--- a/bluebellshore/routing/speed.py
+++ b/bluebellshore/routing/speed.py
@@ -33,7 +33,9 @@
 #: count, in seconds.
 RATIOS = 9
 LEAST_RATIOS = 3
-RATIO_SECONDS = 10.0
+RATIO_SECONDS = 4.0
+#: Servers are compared at most this often, in seconds.
+COMPARE_SECONDS = 0.2
 #: Slowness below which servers count as equal, and its upper bound.
 EQUAL_SLOWNESS = 1.5
 MAX_SLOWNESS = 8.0
@@ -97,6 +99,9 @@
         self._ratios: dict[
             ServiceName, dict[BackendServerId, deque[tuple[float, float]]]
         ] = {}
+        self._slowness: dict[
+            ServiceName, tuple[float, dict[BackendServerId, float]]
+        ] = {}
 
     def note(self, sample: FirstEventSample, now: float) -> None:
         """Learn from a first event."""
@@ -127,24 +132,36 @@
         self, service: ServiceName, server_id: BackendServerId, now: float
     ) -> float:
         """Return how many times slower a server is than its peers, at least 1."""
-        by_server = self._ratios.get(service, {})
-        own = _recent(by_server.get(server_id), now)
-        if own is None:
-            return 1.0
-        others = [
-            ratio
-            for other, ratios in by_server.items()
-            if other != server_id and (ratio := _recent(ratios, now)) is not None
-        ]
-        if not others:
-            return 1.0
-        slowness = own / max(statistics.median(others), 1e-6)
-        return min(slowness, MAX_SLOWNESS) if slowness > EQUAL_SLOWNESS else 1.0
+        compared_at, slowness_by_server = self._slowness.get(service, (-1.0, {}))
+        if now - compared_at > COMPARE_SECONDS or compared_at < 0:
+            slowness_by_server = self._compare(service, now)
+            self._slowness[service] = (now, slowness_by_server)
+        return slowness_by_server.get(server_id, 1.0)
 
     def forget(self, server_id: BackendServerId) -> None:
         """Drop what was learned of a server that is gone or began anew."""
         for by_server in self._ratios.values():
             by_server.pop(server_id, None)
+        for _, slowness_by_server in self._slowness.values():
+            slowness_by_server.pop(server_id, None)
+
+    def _compare(
+        self, service: ServiceName, now: float
+    ) -> dict[BackendServerId, float]:
+        """Return the servers that are slower than the others, and how much."""
+        own_by_server = {
+            server_id: ratio
+            for server_id, ratios in self._ratios.get(service, {}).items()
+            if (ratio := _recent(ratios, now)) is not None
+        }
+        if len(own_by_server) < 2:
+            return {}
+        usual = max(statistics.median_low(own_by_server.values()), 1e-6)
+        return {
+            server_id: min(ratio / usual, MAX_SLOWNESS)
+            for server_id, ratio in own_by_server.items()
+            if ratio / usual > EQUAL_SLOWNESS
+        }
 
 
 def _medians(samples: list[tuple[int, float]]) -> tuple[float, float]:
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -35,8 +35,9 @@
 #: Pause before a server is tried again, and its growth and bound.
 FIRST_PAUSE_SECONDS = 1.0
 PAUSE_GROWTH = 2.0
-MOST_PAUSE_SECONDS = 8.0
-#: Answers in a row, one request at a time, that bring a server back.
+MOST_PAUSE_SECONDS = 4.0
+#: Answers in a row that bring a server back; until then it gets one request more at a
+#: time than it has answered.
 PROBES_NEEDED = 3
 #: Longest time that one probe keeps others away.
 PROBE_SECONDS = 2.0
@@ -64,6 +65,7 @@
     pause: float = FIRST_PAUSE_SECONDS
     probed_at: float = float("-inf")
     probes_good: int = 0
+    probing: set[int] = msgspec.field(default_factory=set)
     pending: int = 0
     streaming: int = 0
     event_at: float = 0.0
@@ -78,7 +80,9 @@
 
 class _Pending(msgspec.Struct):
     server_id: BackendServerId
+    began_at: float
     streaming: bool = False
+    lives: bool = False
     overdue: bool = False
 
 
@@ -124,13 +128,14 @@
         now: float,
     ) -> None:
         """Watch an attempt; it is overdue at a multiple of the expected time."""
-        self._pending[ticket] = _Pending(server_id)
+        self._pending[ticket] = _Pending(server_id, now)
         wait = max(OVERDUE_LEAST_SECONDS, OVERDUE_FACTOR * expected_seconds)
         heapq.heappush(self._due, (now + wait, ticket))
         watch = self._watch(server_id)
         watch.pending += 1
         if watch.out:
             watch.probed_at = now
+            watch.probing.add(ticket)
 
     def event(self, ticket: _Ticket, now: float) -> None:
         """Note an event of an attempt.
@@ -143,18 +148,36 @@
             return
         watch = self._watch(pending.server_id)
         watch.event_at = now
-        if pending.streaming:
+        if not pending.streaming:
+            pending.streaming = True
+            watch.streaming += 1
+        elif not pending.lives:
+            pending.lives = True
             self._sees_progress = True
             watch.lost_streak = 0
+            if watch.out:
+                self._note_life(watch, pending, ticket, now)
+
+    def _note_life(
+        self, watch: _Watch, pending: _Pending, ticket: _Ticket, now: float
+    ) -> None:
+        """Take an event of a server that is left out as a probe's answer.
+
+        When it is one of an attempt from before, the server lives again: try it.
+        """
+        watch.probing.discard(ticket)
+        if pending.began_at >= watch.until:
+            self._judge_probe(watch, ResultCounts(good=1.0), now)
         else:
-            pending.streaming = True
-            watch.streaming += 1
+            watch.until = min(watch.until, now)
+            watch.pause = FIRST_PAUSE_SECONDS
 
     def forget(self, ticket: _Ticket) -> None:
         """Stop watching an attempt; its result is recorded apart."""
         pending = self._pending.pop(ticket, None)
         if pending is not None:
             watch = self._watch(pending.server_id)
+            watch.probing.discard(ticket)
             watch.pending -= 1
             watch.streaming -= pending.streaming
 
@@ -283,7 +306,9 @@
         watch = self._watch(server.server_id)
         if now < watch.until:
             return False
-        return now - watch.probed_at > PROBE_SECONDS or not watch.pending
+        if now - watch.probed_at > PROBE_SECONDS:
+            return True
+        return len(watch.probing) <= watch.probes_good
 
     def _count_overdue(self, now: float) -> None:
         while self._due and self._due[0][0] <= now:
@@ -291,4 +316,6 @@
             pending = self._pending.get(ticket)
             if pending is not None and not pending.streaming and not pending.overdue:
                 pending.overdue = True
-                self._count(pending.server_id, ResultCounts(bad=1.0, lost=1.0), now)
+                watch = self._watch(pending.server_id)
+                lost = float(watch.event_at < pending.began_at)
+                self._count(pending.server_id, ResultCounts(bad=1.0, lost=lost), now)
--- a/bluebellshore/routing/waiting.py
+++ b/bluebellshore/routing/waiting.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -27,11 +27,19 @@
 LEAST_SHARE = 0.4
 #: Requests looked at for one that fits a place.
 MOST_TRIES = 16
-#: Starts over which the rate is measured, and the time after which they are forgotten.
-RATE_STARTS = 64
-RATE_SECONDS = 5.0
+#: Time over which the rate of starts is measured.
+RATE_SECONDS = 2.0
 #: Starts a second assumed until some were seen.
 START_RATE = 50.0
+#: Starts a second assumed of a kind of which none started lately, though others did.
+LEAST_RATE = 5.0
+#: Longest expected wait for which a request is taken, as a multiple of its objective.
+HOLD_OBJECTIVES = 0.3
+#: Callers leave before the first event after the longest of: this time, a multiple of
+#: the objective, a multiple of the longest pause that is on time.
+PATIENCE_SECONDS = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
 #: Bounds of the time after which a refused caller may come back, in seconds.
 LEAST_RETRY_SECONDS = 0.1
 MOST_RETRY_SECONDS = 10.0
@@ -70,7 +78,8 @@
         self._work_by_customer: dict[CustomerId | None, float] = {}
         self._floor = 0.0
         self._displaced: list[_Waiting] = []
-        self._starts: deque[float] = deque(maxlen=RATE_STARTS)
+        self._starts: deque[tuple[float, int]] = deque()
+        self._starts_by_priority: Counter[int] = Counter()
         self._turn = 0
 
     def __len__(self) -> int:
@@ -79,8 +88,10 @@
     def offer(self, call: Call, now: float) -> Accepted | Refuse:
         """Let a request wait, or refuse it at once."""
         seconds = self._expected_seconds(call, now)
-        if now + seconds + self._needed_seconds(call) > call.deadline:
-            return self._refuse("deadline can't be met", call, now)
+        hold = HOLD_OBJECTIVES * call.route.objective_seconds
+        latest = min(_last_start(call), call.received_at + hold)
+        if now + seconds + self._needed_seconds(call) > latest:
+            return self._refuse("no place is expected in time", call, now)
         if len(self._entries) >= self._limit(call) and not self._displace(call):
             return self._refuse("too many requests wait", call, now)
         self._entries[call.attempt_id] = _Waiting(call, now)
@@ -102,7 +113,7 @@
         """Return requests that gave way or can't be served in time any more."""
         for entry in list(self._entries.values()):
             call = entry.call
-            if now + self._needed_seconds(call) > call.deadline:
+            if now + self._needed_seconds(call) > _last_start(call):
                 self._remove(entry)
                 self._displaced.append(entry)
         displaced, self._displaced = self._displaced, []
@@ -119,17 +130,21 @@
         self._remove(entry)
         return True
 
-    def note_start(self, now: float) -> None:
-        """Count a request that got a place without waiting."""
-        self._starts.append(now)
+    def note_start(self, call: Call, now: float) -> None:
+        """Count a request that got a place."""
+        self._starts.append((now, call.priority))
+        self._starts_by_priority[call.priority] += 1
+        self._drop_starts(now)
 
     def rate(self, now: float) -> float:
         """Return how many requests get a place in a second."""
-        while self._starts and now - self._starts[0] > RATE_SECONDS:
-            self._starts.popleft()
-        if len(self._starts) < 2:
-            return START_RATE
-        return len(self._starts) / max(now - self._starts[0], 1e-3)
+        self._drop_starts(now)
+        return len(self._starts) / RATE_SECONDS if self._starts else START_RATE
+
+    def _drop_starts(self, now: float) -> None:
+        while self._starts and now - self._starts[0][0] > RATE_SECONDS:
+            _, priority = self._starts.popleft()
+            self._starts_by_priority[priority] -= 1
 
     def _ordered(self, now: float) -> Iterator[_Waiting]:
         """Yield who goes next, then who goes if that one doesn't fit."""
@@ -148,7 +163,7 @@
 
     def _take(self, entry: _Waiting, now: float) -> None:
         self._turn += 1
-        self._starts.append(now)
+        self.note_start(entry.call, now)
         customer = entry.call.customer
         work = self._work_by_customer[customer]
         self._floor = max(self._floor, min(self._waiting_work(), default=work))
@@ -197,23 +212,47 @@
         return False
 
     def _expected_seconds(self, call: Call, now: float) -> float:
-        """Return the expected time until a place frees for a request."""
-        ahead = sum(
-            entry.call.priority <= call.priority for entry in self._entries.values()
-        )
-        customers = {entry.call.customer for entry in self._entries.values()}
-        own = sum(e.call.customer == call.customer for e in self._entries.values())
-        fair = (own + 1) * len(customers | {call.customer}) - 1
-        return min(ahead, fair) / self.rate(now)
+        """Return the expected time until a place frees for a request.
+
+        More urgent ones go first, and its own kind goes at the rate at which it went
+        lately: what more urgent ones leave.
+        """
+        total = self.rate(now)
+        urgent = own_kind = own = 0
+        customers = {call.customer}
+        for entry in self._entries.values():
+            other = entry.call
+            urgent += other.priority < call.priority
+            if other.priority == call.priority:
+                own_kind += 1
+                own += other.customer == call.customer
+                customers.add(other.customer)
+        fair = min(own_kind, (own + 1) * len(customers) - 1)
+        own_rate = self._starts_by_priority[call.priority] / RATE_SECONDS
+        own_rate = own_rate or min(total, LEAST_RATE)
+        return max(urgent / total, fair / own_rate)
 
     def _refuse(self, reason: str, call: Call, now: float) -> Refuse:
         """Tell when a place is likely, spread so that not all come back at once."""
-        wait = (len(self._entries) + 1) / self.rate(now)
+        wait = max(
+            self._expected_seconds(call, now), (len(self._entries) + 1) / self.rate(now)
+        )
         wait = min(max(wait, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
         point = xxhash.xxh32_intdigest(call.attempt_id.encode()) / 2**32
         return Refuse(reason, wait * (1.0 + RETRY_SPREAD * point))
 
 
+def _last_start(call: Call) -> float:
+    """Return the time until which the caller waits for a first event."""
+    route = call.route
+    patience = max(
+        PATIENCE_SECONDS,
+        PATIENCE_OBJECTIVES * route.objective_seconds,
+        PATIENCE_GAPS * route.gap_seconds,
+    )
+    return min(call.deadline, call.received_at + patience)
+
+
 def _due(call: Call) -> float:
     """Return the time until which an answer is worth most."""
     return call.received_at + call.route.objective_seconds
