--- a/bluebellshore/emulator/plain.py
+++ b/bluebellshore/emulator/plain.py
@@ -32,7 +32,7 @@
         self._slots = slots
         self._queue = queue
         self._waiting: deque[PlainRun] = deque()
-        self._running: set[PlainRun] = set()
+        self._running: dict[PlainRun, None] = {}
         self.slowness = 1.0
         self.silent = False
 
@@ -49,7 +49,7 @@
         if run in self._waiting:
             self._waiting.remove(run)
         elif run in self._running:
-            self._running.discard(run)
+            del self._running[run]
             self._start()
 
     def crash(self) -> None:
@@ -68,12 +68,12 @@
     def _start(self) -> None:
         while self._waiting and len(self._running) < self._slots and not self.silent:
             run = self._waiting.popleft()
-            self._running.add(run)
+            self._running[run] = None
             seconds = run.work_seconds * self.slowness
             self._clock.after(seconds, lambda run=run: self._end(run))
 
     def _end(self, run: PlainRun) -> None:
         if run in self._running and not self.silent:
-            self._running.discard(run)
+            del self._running[run]
             self._start()
             run.report(RunEvent.DONE, 1)
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -68,7 +68,7 @@
     probing: set[int] = msgspec.field(default_factory=set)
     pending: int = 0
     streaming: int = 0
-    event_at: float = 0.0
+    event_at: float = float("-inf")
 
     def fade(self, now: float) -> None:
         """Let counts grow old."""
--- a/bluebellshore/routing/waiting.py
+++ b/bluebellshore/routing/waiting.py
@@ -89,8 +89,8 @@
         """Let a request wait, or refuse it at once."""
         seconds = self._expected_seconds(call, now)
         hold = HOLD_OBJECTIVES * call.route.objective_seconds
-        latest = min(_last_start(call), call.received_at + hold)
-        if now + seconds + self._needed_seconds(call) > latest:
+        last = _last_start(call) - self._needed_seconds(call)
+        if seconds > hold or now + seconds > last:
             return self._refuse("no place is expected in time", call, now)
         if len(self._entries) >= self._limit(call) and not self._displace(call):
             return self._refuse("too many requests wait", call, now)
--- /dev/null
+++ b/tests/test_routing_load.py
@@ -0,0 +1,142 @@
+"""Tests of the load book, learned speeds and held parts."""
+
+import unittest
+
+from bluebellshore.fleet import PromptPart
+from bluebellshore.routing.load import LoadBook
+from bluebellshore.routing.parts import HeldParts
+from bluebellshore.routing.results import Result
+from bluebellshore.routing.speed import FirstEventSample, SpeedBook
+from tests.routing_calls import ENGINES, PLAIN, call, servers
+
+
+class LoadBookTest(unittest.TestCase):
+    def setUp(self):
+        self.book = LoadBook()
+        self.book.configure([ENGINES, PLAIN])
+        self.server = servers(1)[0]
+
+    def load(self, now=0.0, book=None):
+        return (book or self.book).load_of(self.server.server_id, now)
+
+    def test_own_attempts_count_until_they_end(self):
+        ticket = self.book.begin(call(("a", 1000), ("b", 500)), self.server, 0.0)
+        self.assertEqual(self.load().prefill_tokens, 1500)
+        self.assertEqual(self.load().held_tokens, 1550)
+        self.assertEqual(self.book.first_event(ticket, 0.2), 0.2)
+        self.assertEqual(self.load().prefill_tokens, 0)
+        self.book.end(ticket, Result.ANSWERED, 1.0)
+        self.assertEqual(self.load().running, 0)
+        self.assertEqual(self.load().held_tokens, 0)
+
+    def test_shared_parts_in_use_take_memory_once(self):
+        tickets = [
+            self.book.begin(call(("a", 1000), (name, 10)), self.server, 0.0)
+            for name in "xyz"
+        ]
+        self.assertEqual(self.load().held_tokens, 1000 + 3 * (10 + 50))
+        new = call(("a", 1000), ("w", 10))
+        self.assertEqual(self.book.needed_tokens(new, self.server.server_id), 60)
+        for ticket in tickets:
+            self.book.end(ticket, Result.LEFT, 1.0)
+        self.assertEqual(self.load().held_tokens, 0)
+
+    def test_peers_work_counts_less_what_was_read_since(self):
+        peer = LoadBook()
+        peer.begin(call(("a", 10_000)), self.server, 0.0)
+        self.book.merge("peer", peer.report(), 0.0)
+        self.assertEqual(self.load().prefill_tokens, 10_000)
+        self.assertLess(self.load(now=0.2).prefill_tokens, 8000)
+        self.assertEqual(self.load(now=0.2).running, 1)
+        self.assertEqual(self.load(now=5.0).running, 0)
+
+    def test_parts_that_peers_report_are_cached(self):
+        peer = LoadBook()
+        peer.begin(call(("a", 1000), ("b", 500)), self.server, 0.0)
+        self.book.merge("peer", peer.report(), 0.0)
+        again = call(("a", 1000), ("c", 500))
+        cached = self.book.cached_tokens(again, self.server.server_id)
+        self.assertEqual(cached, 1000)
+        self.assertEqual(peer.report().parts, [])
+
+    def test_parts_of_an_attempt_that_did_not_run_are_not_cached(self):
+        for result in (Result.UNREACHABLE, Result.REFUSED, Result.TIMED_OUT):
+            with self.subTest(result):
+                request = call(("a", 1000))
+                ticket = self.book.begin(request, self.server, 0.0)
+                self.book.first_event(ticket, 1.0)
+                self.book.end(ticket, result, 1.0)
+                cached = self.book.cached_tokens(request, self.server.server_id)
+                self.assertEqual(cached, 0)
+
+    def test_a_session_goes_on_from_its_output(self):
+        ticket = self.book.begin(call(("s", 1000)), self.server, 0.0)
+        self.book.first_event(ticket, 0.1)
+        self.book.end(ticket, Result.ANSWERED, 1.0, output_tokens=200)
+        longer = call(("s", 1300))
+        cached = self.book.cached_tokens(longer, self.server.server_id)
+        self.assertEqual(cached, 1200)
+
+    def test_a_server_that_began_anew_holds_nothing(self):
+        request = call(("a", 1000))
+        self.book.begin(request, self.server, 0.0)
+        self.book.forget([self.server.server_id])
+        self.assertEqual(self.book.cached_tokens(request, self.server.server_id), 0)
+
+    def test_failed_attempts_teach_no_speed(self):
+        for i in range(50):
+            ticket = self.book.begin(call((f"p{i}", 1000)), self.server, i)
+            self.book.first_event(ticket, i + 0.9)
+            self.book.end(ticket, Result.FAILED, i + 0.9)
+        self.assertLess(self.book.speeds.seconds("engines", 1000), 0.2)
+
+
+class HeldPartsTest(unittest.TestCase):
+    def test_least_recently_used_parts_yield_to_the_memory(self):
+        held = HeldParts(10_000)
+        for name in ("a", "b", "a", "c", "d"):
+            held.add(name, 3000)
+        kept = [n for n in "abcd" if held.cached_tokens([PromptPart(n, 3000)])]
+        self.assertEqual(kept, ["a", "c", "d"])
+
+    def test_nothing_counts_after_the_first_missing_part(self):
+        held = HeldParts()
+        held.add("a", 100)
+        held.add("c", 100)
+        parts = [PromptPart(name, 100) for name in "abc"]
+        self.assertEqual(held.cached_tokens(parts), 100)
+
+
+class SpeedBookTest(unittest.TestCase):
+    def setUp(self):
+        self.speeds = SpeedBook()
+
+    def note(self, server, tokens, seconds, now=0.0, ahead=0):
+        sample = FirstEventSample(server, "engines", tokens, ahead, seconds)
+        self.speeds.note(sample, now)
+
+    def test_base_time_and_speed_are_learned(self):
+        for i in range(60):
+            tokens = 200 + (i * 791) % 8000
+            self.note(f"s{i % 4}", tokens, 0.03 + tokens / 50_000)
+        self.assertAlmostEqual(self.speeds.seconds("engines", 0), 0.03, places=2)
+        speed = self.speeds.tokens_per_second("engines")
+        self.assertAlmostEqual(speed / 50_000, 1.0, places=1)
+
+    def test_a_slow_server_is_told_from_its_peers_and_moves_no_speed(self):
+        for i in range(80):
+            tokens = 200 + (i * 791) % 8000
+            factor = 4.0 if i % 8 == 0 else 1.0
+            self.note(f"s{i % 8}", tokens, factor * (0.03 + tokens / 50_000))
+        speed = self.speeds.tokens_per_second("engines")
+        self.assertAlmostEqual(speed / 50_000, 1.0, places=1)
+        self.assertGreater(self.speeds.slowness("engines", "s0", 1.0), 3.0)
+        self.assertEqual(self.speeds.slowness("engines", "s1", 1.0), 1.0)
+        self.assertEqual(self.speeds.slowness("engines", "s0", 60.0), 1.0)
+
+    def test_first_events_behind_others_teach_no_speed(self):
+        for i in range(60):
+            tokens = 200 + (i * 791) % 8000
+            self.note("s", tokens, 0.03 + tokens / 50_000)
+            self.note("s", tokens, 5.0, ahead=20_000)
+        self.assertLess(self.speeds.seconds("engines", 1000), 0.1)
