Recover predecessors under any number of conflicts; know the number of routers

Cause: with 23 routers killed at once, recovery gave up after 40 conflicts and was never tried again: 235,000 of a customer's 595,000 tokens stayed held by the dead. It now goes on, with smaller transactions and pauses. The first routers to start took 0.6 of all totals, so that it took 3.4 s until the last had some; the stock is now divided by the routers known.

A read that is behind what was read before (a cache) is refused rather than taken for a fence; a row that was never read may not be there yet.

PlatformStore tells the store's time; settlements every 1 s.

Ruled out: halving the budgets of a look under conflicts; 285 transactions in place of 80 at a start, and no sooner.

--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -131,8 +131,6 @@
         return sorted(budgets)
 
     def _batch(self) -> list[Bill]:
-        if not self._keeps_ledger:
-            return list(self._book.unsettled_by_attempt.values())
         bills_by_key: dict[str, Bill] = {}
         for bill in self._book.unsettled_by_attempt.values():
             bills_by_key.setdefault(bill.key, bill)
--- a/bluebellshore/budget/journal.py
+++ b/bluebellshore/budget/journal.py
@@ -21,7 +21,11 @@
     encode_row,
     incarnation_key,
 )
-from bluebellshore.errors import PlatformError, TransactionConflictError
+from bluebellshore.errors import (
+    PlatformError,
+    PlatformUnavailableError,
+    TransactionConflictError,
+)
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
 from bluebellshore.store.interface import ABSENT, Row, TableService, Write
 
@@ -67,6 +71,7 @@
             incarnation, book, policy, prepaid, keeps_ledger=keeps_ledger
         )
         self._unresolved: list[Transaction] = []
+        self._seen_version = ABSENT
 
     @property
     def covers_by_budget(self) -> dict[BudgetId, Cover]:
@@ -97,6 +102,7 @@
         budgets = self._composer.budgets(request)
         own_key = incarnation_key(self._incarnation)
         rows = await self._table.read([own_key, *map(budget_key, budgets)])
+        self._check_lag(rows.get(own_key))
         current = self._resolve(rows.get(own_key))
         if current is None:
             return CommitResult.NOTHING
@@ -107,6 +113,21 @@
             return CommitResult.NOTHING
         return await self._send(transaction)
 
+    def _check_lag(self, row: Row | None) -> None:
+        """Refuse a read, of a cache, that is behind what was read before.
+
+        A row that was never read may not be there yet, which is no fence.
+
+        :raises PlatformUnavailableError: the read lags.
+        """
+        version = ABSENT if row is None else row.version
+        lags = version < self._seen_version if row else not self._seen_version
+        if lags:
+            raise PlatformUnavailableError(
+                "a read lags behind", step="budget.commit", peer=self._incarnation
+            )
+        self._seen_version = max(self._seen_version, version)
+
     def _resolve(self, row: Row | None) -> IncarnationRow | None:
         """Settle the fate of open transactions. :return: None when fenced."""
         current = decode_row(row, IncarnationRow)
--- a/bluebellshore/budget/policy.py
+++ b/bluebellshore/budget/policy.py
@@ -1,6 +1,7 @@
 """Policies for the size of allotments."""
 
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -160,6 +161,7 @@
     A router that has not served a customer yet can so ride out an outage too.
 
     :param standby_share: share of the rest that all holders together hold unused.
+    :param routers: number of routers known; all may come to hold tokens.
     """
 
     def __init__(
@@ -167,12 +169,15 @@
         horizon_seconds: float,
         share: float = HORIZON_SHARE,
         standby_share: float = STANDBY_SHARE,
+        routers: Callable[[], int] = lambda: 1,
     ):
         super().__init__(horizon_seconds, share, idle_seconds=math.inf)
+        self._routers = routers
         self._standby_share = standby_share
 
     def _target(self, view: AllotmentView) -> int:
-        standby = int(self._standby_share * view.rest / max(1, view.holders))
+        holders = max(view.holders, self._routers())
+        standby = int(self._standby_share * view.rest / holders)
         return max(standby, super()._target(view))
 
     def grant(self, view: AllotmentView) -> Tokens:
--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -1,5 +1,7 @@
 """Recovers the allotments of earlier lives of an instance."""
 
+import asyncio
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -24,8 +26,9 @@
 PAGE_ROWS = 500
 #: Budgets settled in one transaction at most; the platform takes 100 rows.
 BATCH_BUDGETS = 80
-#: Conflicts after which an incarnation is left to a later run.
-MAX_CONFLICTS = 40
+#: Longest pauses after a first and after many conflicts.
+PAUSE_SECONDS = 0.02
+MAX_PAUSE_SECONDS = 0.3
 
 
 class Recovered(msgspec.Struct):
@@ -50,6 +53,7 @@
 
     :param own: the incarnation that lives.
     :param store_time: the store's time, as an answer to this process told it.
+    :param rng: source of jitter.
     """
 
     def __init__(
@@ -58,7 +62,9 @@
         own: IncarnationId,
         instance_id: InstanceId,
         store_time: Callable[[], StoreTime | None] = lambda: None,
+        rng: random.Random | None = None,
     ):
+        self._rng = rng or random.Random()
         self._store_time = store_time
         self._died_before: float | None = None
         self._table = table
@@ -97,13 +103,16 @@
             after = page[-1].key
 
     async def _recover(self, report: Recovered) -> None:
-        size = BATCH_BUDGETS
-        for _ in range(MAX_CONFLICTS):
+        size, pause = BATCH_BUDGETS, PAUSE_SECONDS
+        while True:
             try:
                 if await self._settle_some(report, size):
                     return
-            except TransactionConflictError:
-                size = max(1, size // 2)  # the budgets' rows are busy
+                pause = PAUSE_SECONDS
+            except TransactionConflictError:  # the budgets' rows are busy
+                size = max(1, size // 2)
+                await asyncio.sleep(self._rng.uniform(0, pause))
+                pause = min(MAX_PAUSE_SECONDS, pause * 2)
 
     async def _settle_some(self, report: Recovered, size: int) -> bool:
         """Settle some budgets. :return: whether nothing is left to do."""
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -43,11 +43,14 @@
 STEP = "entry.budgets"
 #: Outage of the store that an allotment rides out at the present burn rate.
 HORIZON_SECONDS = 8.0
+#: Share of the rest that all routers together hold ahead of use: in an outage they
+#: lend it to each other, and caps bound what a kill loses of it.
+STANDBY_SHARE = 0.6
 #: Time over which burn rates are averaged; the load of a customer may double at once.
 BURN_WINDOW_SECONDS = 4.0
 #: A row that shows a budget exhausted goes on to do so until its total is raised.
 TIMES = AccountantTimes(
-    settle=0.6, heartbeat=1.5, poll=0.1, look=1.0, cover=float("inf"), close=2.0
+    settle=1.0, heartbeat=1.5, poll=0.1, look=1.0, cover=float("inf"), close=2.0
 )
 #: Pause after a failure, before predecessors or budgets are tried again.
 RECOVER_SECONDS = 0.3
@@ -133,7 +136,12 @@
         self._accountant = Accountant(
             table,
             self.incarnation,
-            policy or StandbyPolicy(horizon_seconds),
+            policy
+            or StandbyPolicy(
+                horizon_seconds,
+                standby_share=STANDBY_SHARE,
+                routers=lambda: 1 + (len(peers.reachable()) if peers else 0),
+            ),
             prepaid=lambda budget: prepaid(CustomerId(budget)),
             clock=clock,
             times=times,
@@ -147,7 +155,7 @@
         self.lender = Lender(self._accountant, self._book, self.incarnation, clock)
         self._borrower = peers and Borrower(peers, self.incarnation, clock)
         self._predecessors = Predecessors(
-            table, self.incarnation, instance_id, store_time
+            table, self.incarnation, instance_id, store_time, rng
         )
         self._open_by_attempt: dict[str, _Open] = {}
         self._count = 0
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import time
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import NamedTuple, TypeVar
@@ -20,6 +21,7 @@
 from bluebellshore.store import (
     ABSENT,
     Row,
+    StoreTime,
     TableChange,
     TableSnapshot,
     Write,
@@ -34,6 +36,7 @@
 FEED_SLACK_SECONDS = 0.8
 REASON_CHARACTERS = 200
 PAGE_ROWS = 500
+MILLISECONDS = 1000.0
 
 T = TypeVar("T")
 
@@ -57,6 +60,8 @@
     has_more: bool = False
     #: Newest version of the whole store.
     row_version: int = 0
+    #: A steady clock.
+    current_time_ms: float | None = None
 
 
 class _Expected(msgspec.Struct, rename="camel"):
@@ -105,6 +110,8 @@
         self._call_seconds = call_seconds
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
+        #: The store's clock by its newest answer.
+        self.time: StoreTime | None = None
 
     async def open(self) -> None:
         """Prepare for calls."""
@@ -300,11 +307,15 @@
     def _decode(self, reply: _Reply, message_type: type[T], step: str) -> T:
         self._check_status(reply, step)
         try:
-            return msgspec.json.decode(reply.body, type=message_type)
+            answer = msgspec.json.decode(reply.body, type=message_type)
         except (msgspec.DecodeError, ValueError, RecursionError) as error:
             raise PlatformError(
                 f"malformed answer: {error}", step=step, peer=self._address
             ) from error
+        if isinstance(answer, _RowsAnswer) and answer.current_time_ms is not None:
+            store_seconds = answer.current_time_ms / MILLISECONDS
+            self.time = StoreTime(store_seconds, time.monotonic())
+        return answer
 
     def _conflict(
         self, reply: _Reply, writes: Sequence[Write], step: str
