--- a/bluebellshore/cli/main.py
+++ b/bluebellshore/cli/main.py
@@ -10,13 +10,20 @@
 import eliot
 
 from bluebellshore import __version__
+from bluebellshore.cli.explain import ExplainCommand
 from bluebellshore.cli.operators import (
     BudgetCommand,
     BundleCommand,
     MoveCommand,
     StateCommand,
 )
-from bluebellshore.cli.serving import RouterCommand, SidecarCommand, StandinCommand
+from bluebellshore.cli.serving import (
+    EntryCommand,
+    RouterCommand,
+    SidecarCommand,
+    StandinCommand,
+)
+from bluebellshore.cli.settings import SettingsCommand
 from bluebellshore.cli.trials import (
     DemoCommand,
     ExperimentCommand,
@@ -58,13 +65,16 @@
     """Router fleet for prepaid token budgets."""
 
     subcommand: cappa.Subcommands[
-        RouterCommand
+        EntryCommand
+        | RouterCommand
         | SidecarCommand
         | StandinCommand
         | BundleCommand
         | MoveCommand
         | BudgetCommand
         | StateCommand
+        | ExplainCommand
+        | SettingsCommand
         | LocalCommand
         | DemoCommand
         | LoadCommand
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -43,9 +43,6 @@
 STEP = "entry.budgets"
 #: Outage of the store that an allotment rides out at the present burn rate.
 HORIZON_SECONDS = 8.0
-#: Share of the rest that all routers together hold ahead of use: in an outage they
-#: lend it to each other, and caps bound what a kill loses of it.
-STANDBY_SHARE = 0.6
 #: Time over which burn rates are averaged; the load of a customer may double at once.
 BURN_WINDOW_SECONDS = 4.0
 #: A row that shows a budget exhausted goes on to do so until its total is raised.
@@ -139,7 +136,6 @@
             policy
             or StandbyPolicy(
                 horizon_seconds,
-                standby_share=STANDBY_SHARE,
                 routers=lambda: 1 + (len(peers.reachable()) if peers else 0),
             ),
             prepaid=lambda budget: prepaid(CustomerId(budget)),
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -36,7 +36,6 @@
 FEED_SLACK_SECONDS = 0.8
 REASON_CHARACTERS = 200
 PAGE_ROWS = 500
-MILLISECONDS = 1000.0
 
 T = TypeVar("T")
 
@@ -60,7 +59,7 @@
     has_more: bool = False
     #: Newest version of the whole store.
     row_version: int = 0
-    #: A steady clock.
+    #: The store's steady clock.
     current_time_ms: float | None = None
 
 
@@ -110,7 +109,7 @@
         self._call_seconds = call_seconds
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
-        #: The store's clock by its newest answer.
+        #: What the store's clock showed in its newest answer; None before one.
         self.time: StoreTime | None = None
 
     async def open(self) -> None:
@@ -312,9 +311,9 @@
             raise PlatformError(
                 f"malformed answer: {error}", step=step, peer=self._address
             ) from error
-        if isinstance(answer, _RowsAnswer) and answer.current_time_ms is not None:
-            store_seconds = answer.current_time_ms / MILLISECONDS
-            self.time = StoreTime(store_seconds, time.monotonic())
+        shown = getattr(answer, "current_time_ms", None)
+        if shown is not None:
+            self.time = StoreTime(shown / 1000, time.monotonic())
         return answer
 
     def _conflict(
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -652,12 +652,13 @@
         while world.incarnations()["r1.1"].sequence == sequence:
             await asyncio.sleep(0.001)
         client.out = True
-        seen = world.incarnations()["r1.1"].seen_seconds
+        row = world.incarnations()["r1.1"]
+        self.assertGreater(row.lapse_seconds, 1.0)
         free = world.routers["r1"].snapshot()["budgets"]["acme"]["free"]
         loop = asyncio.get_running_loop()
         while await world.request("r1", "acme", free, free, 0.0, wait=0):
             await asyncio.sleep(0.01)
-        self.assertGreater(loop.time() - seen, 4.0)
+        self.assertGreater(loop.time() - row.seen_seconds, row.lapse_seconds)
         await world.stop()
 
 
