Ask first those routers to lend that held most when a row was read last

Cause: who holds how much was learnt from the feed of the budget table only; a router without it asked the same six routers, whatever they had. Rows are read at least once a second anyway.

Not measured by itself.

--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -47,11 +47,13 @@
     """What a budget could cover at most when its row was read last.
 
     :param prepaid_total: prepaid total at that time.
+    :param held: tokens allotted at that time, by incarnation.
     """
 
     tokens: Tokens
     prepaid_total: Tokens
     seen_at: float
+    held: dict[IncarnationId, Tokens] = msgspec.field(default_factory=dict)
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -238,7 +240,8 @@
         self, budget: BudgetId, row: BudgetRow, prepaid_total: Tokens, now: float
     ) -> None:
         billed = row.settled + row.held() + self._book.account(budget).unsettled
-        cover = Cover(Tokens(prepaid_total - billed), prepaid_total, now)
+        held = {key: allotment.outstanding for key, allotment in row.allotments.items()}
+        cover = Cover(Tokens(prepaid_total - billed), prepaid_total, now, held)
         self.covers_by_budget[budget] = cover
 
     def _wanted(
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -149,7 +149,9 @@
         self._accountant.on_platform = self._log_platform
         #: For other routers to borrow from.
         self.lender = Lender(self._accountant, self._book, self.incarnation, clock)
-        self._borrower = peers and Borrower(peers, self.incarnation, clock)
+        self._borrower = peers and Borrower(
+            peers, self.incarnation, self._held_elsewhere, clock
+        )
         self._predecessors = Predecessors(
             table, self.incarnation, instance_id, store_time, rng
         )
@@ -238,8 +240,6 @@
             account = self._book.accounts_by_budget.get(budget)
             if account is None:
                 continue
-            if self._borrower:
-                self._borrower.see(CustomerId(budget), decode_row(row, BudgetRow))
             waiting = self._accountant.waits_for(budget)
             if not (account.free or waiting):
                 continue
@@ -366,6 +366,11 @@
         opened.own, opened.lent = own, lent
         return True
 
+    def _held_elsewhere(self, customer: CustomerId) -> dict[IncarnationId, Tokens]:
+        """Return what each router held of a customer's budget when last seen."""
+        cover = self._accountant.cover(BudgetId(customer))
+        return cover.held if cover else {}
+
     def _wanted_elsewhere(self, row: BudgetRow) -> bool:
         return any(
             allotment.wanted and not allotment.held
--- a/bluebellshore/entry/loans.py
+++ b/bluebellshore/entry/loans.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
 import eliot
@@ -14,7 +14,6 @@
 
 from bluebellshore.budget import Accountant
 from bluebellshore.budget.direct import DIRECT, DirectBook
-from bluebellshore.budget.rows import BudgetRow
 from bluebellshore.errors import BluebellshoreError
 from bluebellshore.ids import BudgetId, CustomerId, IncarnationId, Tokens
 from bluebellshore.wire.link_pb2 import Receipt
@@ -150,29 +149,26 @@
 
 
 class Borrower:
-    """Asks other routers for tokens, those first that held most when last seen."""
+    """Asks other routers for tokens, those first that held most when last seen.
+
+    :param held: what each router held of a customer's budget when last seen.
+    """
 
     def __init__(
         self,
         peers: RouterPeers,
         own: IncarnationId,
+        held: Callable[[CustomerId], Mapping[IncarnationId, Tokens]],
         clock: Callable[[], float],
     ):
         self.borrowed_tokens = 0
+        self._held = held
         self._peers = peers
         self._own = own
         self._clock = clock
-        self._held: dict[CustomerId, dict[IncarnationId, int]] = {}
         self._short: dict[tuple[IncarnationId, CustomerId], float] = {}
         self._tasks: set[asyncio.Task] = set()
 
-    def see(self, customer: CustomerId, row: BudgetRow) -> None:
-        """Take in who holds how much."""
-        self._held[customer] = {
-            incarnation: allotment.outstanding
-            for incarnation, allotment in row.allotments.items()
-        }
-
     async def borrow(self, loan: Loan) -> dict[IncarnationId, Tokens]:
         """Borrow from as many routers as it takes.
 
@@ -222,7 +218,7 @@
 
     def _candidates(self, customer: CustomerId) -> list[IncarnationId]:
         now = self._clock()
-        held = self._held.get(customer, {})
+        held = self._held(customer)
         peers = [
             peer
             for peer in self._peers.reachable()
