--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -47,7 +47,7 @@
 BURN_WINDOW_SECONDS = 4.0
 #: A row that shows a budget exhausted goes on to do so until its total is raised.
 TIMES = AccountantTimes(
-    settle=0.6, heartbeat=1.5, poll=0.1, look=1.0, cover=float("inf"), close=2.0
+    settle=1.0, heartbeat=1.5, poll=0.1, look=1.0, cover=float("inf"), close=2.0
 )
 #: Pause after a failure, before predecessors or budgets are tried again.
 RECOVER_SECONDS = 0.3
@@ -133,7 +133,11 @@
         self._accountant = Accountant(
             table,
             self.incarnation,
-            policy or StandbyPolicy(horizon_seconds),
+            policy
+            or StandbyPolicy(
+                horizon_seconds,
+                routers=lambda: 1 + (len(peers.reachable()) if peers else 0),
+            ),
             prepaid=lambda budget: prepaid(CustomerId(budget)),
             clock=clock,
             times=times,
@@ -145,9 +149,11 @@
         self._accountant.on_platform = self._log_platform
         #: For other routers to borrow from.
         self.lender = Lender(self._accountant, self._book, self.incarnation, clock)
-        self._borrower = peers and Borrower(peers, self.incarnation, clock)
+        self._borrower = peers and Borrower(
+            peers, self.incarnation, self._held_elsewhere, clock
+        )
         self._predecessors = Predecessors(
-            table, self.incarnation, instance_id, store_time
+            table, self.incarnation, instance_id, store_time, rng
         )
         self._open_by_attempt: dict[str, _Open] = {}
         self._count = 0
@@ -234,8 +240,6 @@
             account = self._book.accounts_by_budget.get(budget)
             if account is None:
                 continue
-            if self._borrower:
-                self._borrower.see(CustomerId(budget), decode_row(row, BudgetRow))
             waiting = self._accountant.waits_for(budget)
             if not (account.free or waiting):
                 continue
@@ -362,6 +366,11 @@
         opened.own, opened.lent = own, lent
         return True
 
+    def _held_elsewhere(self, customer: CustomerId) -> dict[IncarnationId, Tokens]:
+        """Return what each router held of a customer's budget when last seen."""
+        cover = self._accountant.cover(BudgetId(customer))
+        return cover.held if cover else {}
+
     def _wanted_elsewhere(self, row: BudgetRow) -> bool:
         return any(
             allotment.wanted and not allotment.held
