--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -119,7 +119,7 @@
         if not len(queue):
             decision = self._choose(call, service, tried, now)
         if isinstance(decision, Place):
-            queue.note_start(now)
+            queue.note_start(call, now)
             return decision, self._book.begin(call, decision.server, now)
         if not isinstance(decision, Refuse):
             decision = queue.offer(call, now)
