Let caps grow with the time since contact; count a dead router's until its successor began

Change: caps hold used tokens and 0.3 s of burn and grow by 1.3 times the burn from the store's time in the row on; the successor counts them until its own start. Ruled out: peers as witnesses (all may die), a wait at the start.

--- a/bluebellshore/budget/recovery.py
+++ b/bluebellshore/budget/recovery.py
@@ -1,6 +1,5 @@
 """Transactions on behalf of a fenced incarnation."""
 
-import sys
 
 import msgspec
 
@@ -131,16 +130,15 @@
             if budget_row is None:
                 continue
             bills = [bill for bill in unbilled if bill.budget == budget]
-            limit = value.caps[budget] * len(value.sidecars)
-            if not value.caps_hold(None):
-                limit = sys.maxsize
+            sidecars = len(value.sidecars)
+            limit = value.cap_at(budget, None) * sidecars if sidecars else 0
             if self._settle(budget, budget_row, bills, limit):
                 encoded = encode_row(budget_row)
                 writes.append(Write(row.key, row.version, encoded))
         return writes
 
     def _settle(
-        self, budget: BudgetId, row: BudgetRow, bills: list[Bill], limit: int
+        self, budget: BudgetId, row: BudgetRow, bills: list[Bill], limit: float
     ) -> bool:
         """Settle bills; return all but what unconfirmed sidecars may have spent.
 
