Refuse waiting requests at once when their router closes

Cause: with other routers to borrow from, a request that waited while its router closed tried again and again without a pause, on the one loop there is. While the store gives no answer, others are now asked without the wait for it.

The new test did not end before. Effect on refusals not measured by itself.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -120,6 +120,11 @@
         """True once this incarnation is fenced; nothing more is reserved."""
         return self._journal.fenced
 
+    @property
+    def ended(self) -> bool:
+        """True once nothing more is reserved: fenced or closing."""
+        return self.fenced or self._closing
+
     async def open(self, instance_id: InstanceId) -> None:
         """Write the incarnation's row; retries until the platform answers."""
         row = IncarnationRow(instance_id=instance_id)
@@ -193,7 +198,7 @@
         self, budget: BudgetId, attempt: str, sidecar: IncarnationId, tokens: Tokens
     ) -> bool:
         """Reserve at once or not at all."""
-        if self.fenced or self._closing:
+        if self.ended:
             return False
         return self.book.reserve(budget, attempt, sidecar, tokens, self._clock())
 
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -60,6 +60,8 @@
 #: Waits for tokens from the store: before other routers are asked first, and again.
 FIRST_WAIT_SECONDS = 0.03
 NEXT_WAIT_SECONDS = 0.15
+#: Least pause between two tries.
+PAUSE_SECONDS = 0.01
 #: At most one line on refusals per customer in this time.
 REFUSAL_LINE_SECONDS = 1.0
 #: After which a refused request may find tokens that others hold now.
@@ -318,7 +320,7 @@
     async def _reserve(self, opened: _Open, wait_seconds: float) -> None:
         """Reserve from the allotment, or with loans when that is not to be had."""
         deadline = self._clock() + wait_seconds
-        wait = FIRST_WAIT_SECONDS
+        wait = 0.0 if self._accountant.platform_out else FIRST_WAIT_SECONDS
         while True:
             left = max(0.0, deadline - self._clock())
             if self._borrower is None:
@@ -337,12 +339,13 @@
                 certain = (
                     isinstance(error, InsufficientBudgetError) and not error.retry_after
                 )
-                if certain or self.fenced or self._borrower is None:
+                if certain or self._borrower is None or self._accountant.ended:
                     raise
                 if await self._borrow(opened):
                     return
                 if self._clock() >= deadline:
                     raise
+            await asyncio.sleep(PAUSE_SECONDS)
             wait = NEXT_WAIT_SECONDS
 
     async def _borrow(self, opened: _Open) -> bool:
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -733,6 +733,20 @@
         self.assertEqual(self.held(world, "r2"), self.free["r2"])
         await world.stop()
 
+    @in_virtual_time
+    async def test_waiting_request_is_refused_when_its_router_closes(self):
+        world = await self.outage()
+        whole = sum(self.free.values())
+        waiting = world.request("r1", "acme", whole + 1, 1, 0.0, wait=30.0)
+        waiting = asyncio.ensure_future(waiting)
+        await asyncio.sleep(0.5)
+        closing = asyncio.ensure_future(world.routers["r1"].close())
+        self.assertIsInstance(await waiting, OverloadError)
+        loop = asyncio.get_running_loop()
+        self.assertLess(loop.time(), 5.0)
+        await closing
+        await world.stop()
+
     @in_virtual_time
     async def test_loan_asked_twice_is_lent_once(self):
         world = await self.outage()
