--- a/bluebellshore/routing/placement.py
+++ b/bluebellshore/routing/placement.py
@@ -20,21 +20,24 @@
 #: Expected delay of a first event when all slots are taken, in seconds.
 FULL_SECONDS = 0.1
 #: Weight of the delay that reading this prompt puts on each request beside it.
-BESIDE_WEIGHT = 0.02
+BESIDE_WEIGHT = 0.05
 #: Weight of reading again what another server holds, beyond the delay of it.
-REREAD_WEIGHT = 1.0
+REREAD_WEIGHT = 2.0
 #: Preference for the own availability zone, in seconds.
-ZONE_SECONDS = 0.002
+ZONE_SECONDS = 0.01
 #: Preference for the home of a prompt's shared parts, in seconds.
-HOME_SECONDS = 0.05
+HOME_SECONDS = 0.1
 #: Spread of choices between equals, in seconds, so that many routers that read the
 #: same report don't all choose the same server.
-SPREAD_SECONDS = 0.004
+SPREAD_SECONDS = 0.005
 #: Part of the objective that unread prompts may take at an engine before a request of
 #: the highest urgency, and what each step down in urgency takes off.
 BACKLOG_SHARE = 0.6
 BACKLOG_STEP = 0.1
 LEAST_BACKLOG_SHARE = 0.3
+#: Part of an engine's slots that each step down in urgency may not take, and the most.
+KEPT_SHARE = 0.06
+MOST_KEPT_SHARE = 0.2
 #: Time after which a caller may come back when no server is known or usable.
 NO_SERVER_RETRY_SECONDS = 0.5
 #: Time after which a request larger than every engine may come back: never helps.
@@ -181,13 +184,15 @@
         return 0 if engine is None else engine.cache_tokens
 
     def _has_room(self, call: Call, option: Option) -> bool:
-        load = option.load
-        if load.running >= option.server.slots:
+        load, slots = option.load, option.server.slots
+        kept = min(KEPT_SHARE * call.priority, MOST_KEPT_SHARE) if call.prompt else 0.0
+        if load.running >= max(1, int(slots * (1 - kept))):
             return False
         memory = self._memory_of(option.server)
         if not memory or not load.running:
             return True
-        return load.held_tokens + call.most_tokens - option.cached_tokens <= memory
+        needed = self._book.needed_tokens(call, option.server.server_id)
+        return load.held_tokens + needed <= memory
 
     def _is_soon(self, call: Call, option: Option) -> bool:
         """Whether the engine's backlog leaves the request its objective."""
