Settle every 0.6 s and write at least each second

Cause: a row that is 1.5 s old when its router is killed leaves too little of the 3.3 s in which caps count; killed processes serve again up to 2.7 s after their last row.

--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -47,7 +47,7 @@
 BURN_WINDOW_SECONDS = 4.0
 #: A row that shows a budget exhausted goes on to do so until its total is raised.
 TIMES = AccountantTimes(
-    settle=1.0, heartbeat=1.5, poll=0.1, look=1.0, cover=float("inf"), close=2.0
+    settle=0.6, heartbeat=1.0, poll=0.1, look=1.0, cover=float("inf"), close=2.0
 )
 #: Pause after a failure, before predecessors or budgets are tried again.
 RECOVER_SECONDS = 0.3
