--- a/bluebellshore/backend/pool.py
+++ b/bluebellshore/backend/pool.py
@@ -103,11 +103,22 @@
                 self._places += 1
             else:
                 connection = await self._wait(deadline)
-        if connection is not None:
-            if connection.is_quiet() and not connection.has_carried(attempt_id):
-                self._context.counts["reused"] += 1
-                return connection
+        if connection is None:
+            connection = await self._open(deadline)
+        elif connection.is_quiet() and not connection.has_carried(attempt_id):
+            self._context.counts["reused"] += 1
+        else:
             connection.close()
+            connection = await self._open(deadline)
+        if self._retired or self._loop.time() >= deadline:
+            self._drop(connection)
+            raise self._error(
+                "the backend server is gone" if self._retired else "its time is over"
+            )
+        return connection
+
+    async def _open(self, deadline: float) -> Connection:
+        """Open a connection in a place that is held; gives it back on failure."""
         try:
             async with asyncio.timeout_at(deadline):
                 connection = await self._connect()
@@ -117,6 +128,10 @@
         except BaseException:
             self._give(None)
             raise
+        if not connection.is_quiet():
+            # It was broken already, or what it says can't be an answer.
+            self._drop(connection)
+            raise self._error("ended or spoke before the request", reset=True)
         return connection
 
     def _take_idle(self, attempt_id: str) -> Connection | None:
@@ -212,11 +227,14 @@
         if self._idle:
             self._plan_sweep(min(connection.keep_until for connection in self._idle))
 
-    def _error(self, message: str, *, timed_out: bool = False) -> AttemptError:
+    def _error(
+        self, message: str, *, reset: bool = False, timed_out: bool = False
+    ) -> AttemptError:
         return AttemptError(
             message,
             step="backend.connect",
             peer=self._peer,
             outcome=Outcome.NOT_SENT,
+            reset=reset,
             timed_out=timed_out,
         )
--- a/tests/test_backend_direct.py
+++ b/tests/test_backend_direct.py
@@ -14,6 +14,7 @@
     open_connection,
 )
 from bluebellshore.backend.direct import DirectBackend
+from bluebellshore.backend.pool import ServerPool
 from tests.scripted_server import (
     ATTEMPT,
     NOT_RUN,
@@ -585,6 +586,77 @@
                 sent = request(f"a{number}")
                 self.assertEqual(await self.fetch(server, sent), (200, b"0"))
 
+    async def test_connection_of_a_doubtful_answer_is_not_used_again(self):
+        for doubtful in (
+            answer(None, b"x", status=502),
+            answer("a0", b"x", signed=False),
+            answer("a0", b"x", headers=("Content-Encoding: gzip",)),
+        ):
+
+            async def script(peer: Peer, doubtful=doubtful):
+                await peer.attempt()
+                await peer.send(answer("a1", b"ok") if peer.number else doubtful)
+                await peer.ended()
+
+            async with scripted_server(script) as server:
+                try:
+                    await self.fetch(server, request("a0"))
+                except AttemptError as error:
+                    self.assertIs(error.outcome, Outcome.UNKNOWN)
+                self.assertEqual(await self.fetch(server), (200, b"ok"))
+                self.assertEqual(len(server.peers), 2)
+
+    async def test_connection_that_ends_is_not_handed_on(self):
+        async def script(peer: Peer):
+            attempt = await peer.attempt()
+            await peer.send(answer(attempt, b"ok", headers=("Connection: close",)))
+            await peer.ended()
+
+        self.limit = 1
+        async with scripted_server(script) as server:
+            async with self.backend.send(server.entry(), request("a0")) as first:
+                waiting = asyncio.create_task(self.fetch(server))
+                await until(lambda: self.waiting)
+                self.assertEqual(await anext(first.chunks()), b"ok")
+            self.assertEqual(await waiting, (200, b"ok"))
+            self.assertEqual(len(server.peers), 2)
+
+    async def test_server_that_speaks_first(self):
+        refusal = answer(None, b"x", status=503, headers=(f"{NOT_RUN}: 1",))
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+
+            async def connect():
+                connection = await open_connection(host, port, context)
+                end, _ = listener.accept()
+                self.enterContext(end).sendall(refusal)
+                return connection
+
+            context = ConnectionContext(ATTEMPT, 5.0)
+            pool = ServerPool("s", connect, context)
+            deadline = asyncio.get_running_loop().time() + 5.0
+            with self.assertRaises(AttemptError) as caught:
+                async with pool.lease("a1", 1, deadline):
+                    self.fail("it may not carry a request")
+        self.assertIs(caught.exception.outcome, Outcome.NOT_SENT)
+        self.assertTrue(pool.unused)
+
+    async def test_server_that_goes_while_a_connection_opens(self):
+        async def connect():
+            pool.retire()
+            return await open_connection(host, port, context)
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            context = ConnectionContext(ATTEMPT, 5.0)
+            pool = ServerPool("s", connect, context)
+            deadline = asyncio.get_running_loop().time() + 5.0
+            with self.assertRaises(AttemptError) as caught:
+                async with pool.lease("a1", 1, deadline):
+                    self.fail("the server is gone")
+        self.assertIs(caught.exception.outcome, Outcome.NOT_SENT)
+        self.assertTrue(pool.unused)
+
     async def test_share(self):
         async def script(peer: Peer):
             while attempt := await peer.attempt():
