--- a/bluebellshore/backend/connection.py
+++ b/bluebellshore/backend/connection.py
@@ -264,7 +264,6 @@
 
     def eof_received(self) -> bool:
         """Take the end of the peer's side. :return: False, which closes ours."""
-        self._tainted = True
         if self.state is ConnectionState.BUSY:
             try:
                 self._reader.end()
--- a/bluebellshore/backend/pool.py
+++ b/bluebellshore/backend/pool.py
@@ -173,7 +173,7 @@
             self._give(waiter.result())
 
     def _release(self, connection: Connection) -> None:
-        if connection.reusable and not self._retired and self._places <= self._limit:
+        if connection.reusable and self._places <= self._limit:
             connection.rest()
             self._give(connection)
         else:
