Test that a peer which takes nothing breaks the connection in time

Cause: TCP_USER_TIMEOUT was checked as an option only. A listener with the smallest receive buffer closes its window on a request of 7,000 bytes, for which the limit holds. Ruled out: dropping packets, which needs rights that a test has not. Conclusion: such a break is reported as silence (timed_out), not as a crash (reset).

--- a/tests/test_backend_bodies.py
+++ b/tests/test_backend_bodies.py
@@ -1,11 +1,13 @@
 """Bodies of requests to backend servers and of their answers."""
 
 import asyncio
+import socket
 
 from bluebellshore.backend import AttemptError, Outcome
 from tests.backend_case import BackendCase, UvloopCase, request, until
 from tests.scripted_server import (
     Peer,
+    ScriptedServer,
     answer,
     scripted_server,
 )
@@ -191,6 +193,19 @@
         self.assertEqual(seen[0], b"12345")
         self.assertTrue(seen[1].startswith(b"GET /x/y HTTP/1.1\r\n"))
 
+    async def test_peer_that_takes_nothing(self):
+        with socket.socket() as listener:
+            # So small a window closes on a request for which the limit still holds.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            server = ScriptedServer(listener.getsockname()[1])
+            error = await self.failing(server, request(method="POST", body=bytes(7000)))
+        self.assertIs(error.outcome, Outcome.UNKNOWN)
+        self.assertIn("the connection broke", str(error))
+        self.assertTrue(error.timed_out)
+        self.assertFalse(error.reset)
+
     async def test_server_that_reads_a_long_body_late(self):
         body = bytes(4 * 2**20)
 
