--- a/tests/test_backend_bodies.py
+++ b/tests/test_backend_bodies.py
@@ -193,6 +193,24 @@
         self.assertEqual(seen[0], b"12345")
         self.assertTrue(seen[1].startswith(b"GET /x/y HTTP/1.1\r\n"))
 
+    async def test_request_beyond_what_the_socket_takes(self):
+        # A body longer than the head, so that its place is seen to be right.
+        value, body = "v" * 8 * 2**20, bytes(range(256)) * 2**16
+        head = (
+            f"POST /x/y HTTP/1.1\r\nHost: h.example\r\nA: {value}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode()
+
+        async def script(peer: Peer):
+            seen.append(await peer.reader.readexactly(len(head) + len(body)))
+            await peer.send(answer("a1", b"ok"))
+
+        seen = []
+        async with scripted_server(script) as server:
+            sent = request(method="POST", headers=[("A", value)], body=body)
+            self.assertEqual(await self.fetch(server, sent), (200, b"ok"))
+        self.assertTrue(seen == [head + body])
+
     async def test_peer_that_takes_nothing(self):
         with socket.socket() as listener:
             # So small a window closes on a request for which the limit still holds.
--- a/tests/test_backend_pool.py
+++ b/tests/test_backend_pool.py
@@ -216,6 +216,17 @@
                         self.assertEqual(len(server.peers), 1)
                 self.backend.forget(["b1"])
 
+    async def test_request_whose_time_is_over_is_not_sent(self):
+        async def script(peer: Peer):
+            await peer.send(answer(await peer.attempt(), b"ok"))
+            self.assertEqual(await peer.attempt(), "")
+
+        async with scripted_server(script) as server:
+            await self.fetch(server, request("a0"))
+            error = await self.failing(server, request("a1", head_seconds=0.0))
+            self.assertIs(error.outcome, Outcome.NOT_SENT)
+            await self.backend.close()
+
     async def test_server_that_speaks_first(self):
         refusal = answer(None, b"x", status=503, headers=(f"{NOT_RUN}: 1",))
         with socket.create_server(("127.0.0.1", 0)) as listener:
