--- a/bluebellshore/routing/retry_window.py
+++ b/bluebellshore/routing/retry_window.py
@@ -11,11 +11,17 @@
 #: Part of the allowance that is used: the count of routers lags, and requests are
 #: spread unevenly.
 USED_SHARE = 0.7
+#: Steps into which a window is cut to compare it with the one before.
+STEPS = 2
 
 
 class RetryWindow:
     """Repeats allowed to one router for one service in any window of time.
 
+    The requests that earn repeats are those of the window, of the one before it or of
+    the one half a window before, whichever has most: repeats come when traffic falls
+    off, because callers wait for what fails.
+
     :param ratio: repeats allowed for each request.
     :param extra: further repeats that all routers together may make in a window.
     :param window_seconds: length of the window.
@@ -25,12 +31,13 @@
         self._ratio = ratio
         self._extra = extra
         self._window_seconds = window_seconds
-        self._requests: deque[float] = deque()
+        #: Requests by half windows before now: up to 0.5, 1, 1.5 and 2 windows old.
+        self._halves: list[deque[float]] = [deque() for _ in range(2 * STEPS)]
         self._repeats: deque[float] = deque()
 
     def count_request(self, now: float) -> None:
         """Count a request of a caller."""
-        self._requests.append(now)
+        self._halves[0].append(now)
         self._expire(now)
 
     def allow(self, now: float, routers: int) -> bool:
@@ -39,13 +46,23 @@
         :param routers: most routers that may be serving now.
         """
         self._expire(now)
-        share = self._ratio * len(self._requests) + self._extra / max(1, routers)
+        share = self._ratio * self._requests() + self._extra / max(1, routers)
         if len(self._repeats) + 1 > share * USED_SHARE:
             return False
         self._repeats.append(now)
         return True
 
+    def _requests(self) -> int:
+        """Return the requests of the window that has most."""
+        counts = [len(half) for half in self._halves]
+        return max(sum(counts[i : i + STEPS]) for i in range(STEPS + 1))
+
     def _expire(self, now: float) -> None:
-        for times in (self._requests, self._repeats):
-            while times and times[0] <= now - self._window_seconds:
-                times.popleft()
+        half = self._window_seconds / STEPS
+        for number, times in enumerate(self._halves):
+            while times and times[0] <= now - (number + 1) * half:
+                time = times.popleft()
+                if number + 1 < len(self._halves):
+                    self._halves[number + 1].append(time)
+        while self._repeats and self._repeats[0] <= now - self._window_seconds:
+            self._repeats.popleft()
