Weigh the homes and a sample when a service has many servers

Cause: the cost of all servers was worked out for each request; at the target a service has some 670 engines and a router places 45 requests a second.

Conclusion: 24 servers by a stride from the request's hash, and both homes, are weighed.

--- a/bluebellshore/experiments/placement.py
+++ b/bluebellshore/experiments/placement.py
@@ -76,12 +76,12 @@
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("seed", type=int, nargs="?", default=1)
+    parser.add_argument("seed", type=int, nargs="*", default=[1])
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--pattern", action="append", type=Pattern, default=[])
     parser.add_argument("--policy", action="append", default=[])
     arguments = parser.parse_args()
     chosen = [p for p in POLICIES if p.name in arguments.policy] or POLICIES
     patterns = arguments.pattern or tuple(Pattern)
-    for table in run([arguments.seed], patterns, chosen, arguments.load):
+    for table in run(arguments.seed, patterns, chosen, arguments.load):
         print(table, end="\n\n", flush=True)
--- a/bluebellshore/experiments/placement_policies.py
+++ b/bluebellshore/experiments/placement_policies.py
@@ -2,13 +2,13 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import xxhash
 
 from bluebellshore.emulator.router import Policy
-from bluebellshore.fleet import BackendServer, Call
-from bluebellshore.ids import ZoneName
+from bluebellshore.fleet import Call
+from bluebellshore.ids import BackendServerId, ZoneName
 from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.placement import Option, Placer, Refuse
 
@@ -24,7 +24,7 @@
     def choose_engine(
         self,
         call: Call,
-        candidates: Sequence[BackendServer],
+        homes: Mapping[BackendServerId, float],
         options: Sequence[Option],
     ) -> Option:
         """Take the first home below the bound."""
@@ -53,7 +53,7 @@
     def choose_engine(
         self,
         call: Call,
-        candidates: Sequence[BackendServer],
+        homes: Mapping[BackendServerId, float],
         options: Sequence[Option],
     ) -> Option:
         """Compare two options."""
@@ -67,7 +67,7 @@
     def choose_engine(
         self,
         call: Call,
-        candidates: Sequence[BackendServer],
+        homes: Mapping[BackendServerId, float],
         options: Sequence[Option],
     ) -> Option:
         """Take the least loaded."""
--- a/bluebellshore/routing/placement.py
+++ b/bluebellshore/routing/placement.py
@@ -5,7 +5,8 @@
 delays the tokens of all requests beside it.
 """
 
-from collections.abc import Sequence
+import heapq
+from collections.abc import Mapping, Sequence
 from collections.abc import Set as AbstractSet
 
 import msgspec
@@ -27,14 +28,23 @@
 ZONE_SECONDS = 0.01
 #: Preference for the home of a prompt's shared parts, in seconds.
 HOME_SECONDS = 0.1
+#: Share of that preference that each of the homes, in order, does without.
+HOME_DISTANCES = (0.0, 0.5)
+#: Servers whose cost is worked out; of more, the homes and a sample are.
+MOST_OPTIONS = 24
+#: Multiplier and mask of the rendezvous hash (the golden ratio, 64 bits).
+MIX = 0x9E3779B97F4A7C15
+MASK = 2**64 - 1
+#: Hashes kept of servers beyond twice those of one call.
+MOST_POINTS = 4096
 #: Spread of choices between equals, in seconds, so that many routers that read the
 #: same report don't all choose the same server.
 SPREAD_SECONDS = 0.005
 #: Part of the objective that unread prompts may take at an engine before a request of
 #: the highest urgency, and what each step down in urgency takes off.
-BACKLOG_SHARE = 0.6
+BACKLOG_SHARE = 0.8
 BACKLOG_STEP = 0.1
-LEAST_BACKLOG_SHARE = 0.3
+LEAST_BACKLOG_SHARE = 0.4
 #: Part of an engine's slots that each step down in urgency may not take, and the most.
 KEPT_SHARE = 0.06
 MOST_KEPT_SHARE = 0.2
@@ -97,6 +107,7 @@
     def __init__(self, book: LoadBook, zone: ZoneName):
         self._book = book
         self._zone = zone
+        self._points: dict[BackendServerId, int] = {}
 
     def place(
         self,
@@ -111,7 +122,9 @@
             return Refuse("no backend server", NO_SERVER_RETRY_SECONDS)
         if self._is_too_large(call, usable[0]):
             return Refuse("larger than any engine's memory", TOO_LARGE_RETRY_SECONDS)
-        options = [self._option(call, server, now) for server in usable]
+        homes = self._homes(call, candidates)
+        listed = self._shortlist(call, usable, homes)
+        options = [self._option(call, server, now) for server in listed]
         roomy = [option for option in options if self._has_room(call, option)]
         if not roomy:
             return Wait("all backend servers are full")
@@ -119,7 +132,7 @@
             roomy = [option for option in roomy if self._is_soon(call, option)]
             if not roomy:
                 return Wait("too many prompts wait to be read")
-            option = self.choose_engine(call, candidates, roomy)
+            option = self.choose_engine(call, homes, roomy)
         else:
             option = self.choose_plain(call, roomy)
         return Place(option.server, option.expected_seconds, option.cached_tokens)
@@ -127,11 +140,13 @@
     def choose_engine(
         self,
         call: Call,
-        candidates: Sequence[BackendServer],
+        homes: Mapping[BackendServerId, float],
         options: Sequence[Option],
     ) -> Option:
-        """Choose the option of least cost to this request and to those beside it."""
-        homes = _homes(call, candidates)
+        """Choose the option of least cost to this request and to those beside it.
+
+        :param homes: distance from home of the shared parts' homes; 1 for others.
+        """
         most_cached = max(option.cached_tokens for option in options)
 
         def cost(option: Option) -> float:
@@ -160,6 +175,58 @@
 
         return min(options, key=cost)
 
+    def _homes(
+        self, call: Call, candidates: Sequence[BackendServer]
+    ) -> dict[BackendServerId, float]:
+        """Return the homes of the shared parts, by rendezvous.
+
+        All routers agree on them without having seen one another's work.
+        """
+        if not call.prompt:
+            return {}
+        seed = _shared_parts(call)[-1].part_id
+        ranked = self._ranked(seed, candidates, len(HOME_DISTANCES))
+        ids = (server.server_id for server in ranked)
+        return dict(zip(ids, HOME_DISTANCES, strict=False))
+
+    def _shortlist(
+        self,
+        call: Call,
+        usable: Sequence[BackendServer],
+        homes: Mapping[BackendServerId, float],
+    ) -> Sequence[BackendServer]:
+        """Return the homes and a sample, when there are many servers."""
+        if len(usable) <= MOST_OPTIONS:
+            return usable
+        stride = len(usable) // MOST_OPTIONS
+        start = xxhash.xxh32_intdigest(call.attempt_id.encode()) % stride
+        sample = usable[start::stride][:MOST_OPTIONS]
+        sampled = {server.server_id for server in sample}
+        at_home = (
+            s for s in usable if s.server_id in homes and s.server_id not in sampled
+        )
+        return [*at_home, *sample]
+
+    def _ranked(
+        self, seed: str, servers: Sequence[BackendServer], count: int
+    ) -> list[BackendServer]:
+        """Return the first servers in the rendezvous order of a seed."""
+        points = self._points
+        salt = xxhash.xxh64_intdigest(seed.encode())
+
+        def score(server: BackendServer) -> int:
+            point = points.get(server.server_id)
+            if point is None:
+                point = xxhash.xxh64_intdigest(server.server_id.encode())
+                points[server.server_id] = point
+            mixed = (point ^ salt) * MIX & MASK
+            return (mixed ^ mixed >> 32) * MIX & MASK
+
+        first = heapq.nsmallest(count, servers, key=score)
+        if len(points) > 2 * len(servers) + MOST_POINTS:
+            points.clear()
+        return first
+
     def _option(self, call: Call, server: BackendServer, now: float) -> Option:
         self._book.introduce(server)
         speeds = self._book.speeds
@@ -213,18 +280,3 @@
 
 def _shared_tokens(call: Call) -> int:
     return sum(part.tokens for part in _shared_parts(call))
-
-
-def _homes(
-    call: Call, candidates: Sequence[BackendServer]
-) -> dict[BackendServerId, float]:
-    """Return the first two homes of the shared parts, by rendezvous.
-
-    All routers agree on them without having seen one another's work.
-    """
-    seed = _shared_parts(call)[-1].part_id
-    ranked = sorted(
-        candidates,
-        key=lambda s: xxhash.xxh32_intdigest(f"{seed}/{s.server_id}".encode()),
-    )
-    return dict(zip((s.server_id for s in ranked), (0.0, 0.5), strict=False))
--- a/tests/test_routing_placement.py
+++ b/tests/test_routing_placement.py
@@ -128,6 +128,21 @@
         ]
         self.assertNotIn("engines-0", chosen)
 
+    def test_of_many_engines_the_homes_and_a_sample_are_weighed(self):
+        self.servers = servers(300, slots=32)
+        homes = [
+            self.place(call(("s", 3000), (f"o{i}", 9))).server.server_id
+            for i in range(30)
+        ]
+        self.assertEqual(len(set(homes)), 1)
+        for i in range(10):
+            self.book.begin(call((f"long-{i}", 9000)), self.servers[0], 0.0)
+        chosen = {
+            self.place(call((f"s{i}", 300), (f"o{i}", 9))).server.server_id
+            for i in range(100)
+        }
+        self.assertGreater(len(chosen), 60)
+
     def test_routers_that_read_one_report_do_not_all_choose_the_idle_engine(self):
         for server in self.servers[:5]:
             for i in range(8):
