Show by mutants that the tests of placing and waiting can fail

Cause: each decision needs a test that goes red when it is taken out.

Ruled out: not weighed.

Conclusion: also drops what is kept of servers that are gone once nothing is in hand there.

--- a/bluebellshore/experiments/placement.py
+++ b/bluebellshore/experiments/placement.py
@@ -5,7 +5,7 @@
 """
 
 import argparse
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from bluebellshore.emulator.measures import Measures, Outcome
 from bluebellshore.emulator.router import Policy
@@ -60,18 +60,16 @@
     patterns: Sequence[Pattern] = tuple(Pattern),
     policies: Sequence[Policy] = POLICIES,
     load: float = 1.0,
-) -> list[Report]:
+) -> Iterator[Report]:
     """Compare policies under each load."""
     seeds = list(seeds)
-    reports = []
     for pattern in patterns:
         report = Report(f"Load: {pattern.value}", COLUMNS)
         traces = [make_trace(pattern, seed, load) for seed in seeds]
         for policy in policies:
             trials = [play(trace, policy) for trace in traces]
             report.rows_by_name[policy.name] = _row(trials)
-        reports.append(report)
-    return reports
+        yield report
 
 
 if __name__ == "__main__":
--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -117,6 +117,12 @@
         self._parts_by_server: dict[BackendServerId, HeldParts] = {}
         self._used_by_server: dict[BackendServerId, UsedParts] = {}
         self._new_parts: list[PartSeen] = []
+        self._forgotten: set[BackendServerId] = set()
+
+    @property
+    def known_servers(self) -> int:
+        """Backend servers of which something is kept, for metrics."""
+        return len(self._own_by_server.keys() | self._parts_by_server.keys())
 
     def configure(self, services: Iterable[Service]) -> None:
         """Take in what services are; engines' memory bounds what they cache."""
@@ -135,6 +141,7 @@
         """Count an attempt that is about to be sent."""
         self._confirm(now)
         server_id = server.server_id
+        self._forgotten.discard(server_id)
         self.introduce(server)
         cached = self.cached_tokens(call, server_id)
         missing = max(0, call.prompt_tokens - cached)
@@ -210,6 +217,7 @@
             self._unconfirmed.remove(ticket)
         if self._suspicion is not None:
             self._suspicion.forget(ticket)
+        self._drop_idle(attempt.server_id)
 
     def load_of(self, server_id: BackendServerId, now: float) -> ServerLoad:
         """Return all work known to be in hand at a backend server.
@@ -265,11 +273,16 @@
             self.speeds.forget(server_id)
             if self._suspicion is not None:
                 self._suspicion.renew(server_id)
-            own = self._own_by_server.get(server_id)
-            if own is not None and not own.running:
-                del self._own_by_server[server_id]
-                self._used_by_server.pop(server_id, None)
-                self._service_by_server.pop(server_id, None)
+            self._forgotten.add(server_id)
+            self._drop_idle(server_id)
+
+    def _drop_idle(self, server_id: BackendServerId) -> None:
+        """Drop a forgotten server once nothing is in hand there."""
+        if server_id in self._forgotten and not self._own(server_id).running:
+            self._forgotten.discard(server_id)
+            self._own_by_server.pop(server_id, None)
+            self._used_by_server.pop(server_id, None)
+            self._service_by_server.pop(server_id, None)
 
     def _own(self, server_id: BackendServerId) -> ServerLoad:
         return self._own_by_server.setdefault(server_id, ServerLoad())
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -69,6 +69,7 @@
     pending: int = 0
     streaming: int = 0
     event_at: float = float("-inf")
+    renewed: bool = False
 
     def fade(self, now: float) -> None:
         """Let counts grow old."""
@@ -180,6 +181,8 @@
             watch.probing.discard(ticket)
             watch.pending -= 1
             watch.streaming -= pending.streaming
+            if watch.renewed and not watch.pending:
+                del self._watches[pending.server_id]
 
     def record(
         self, server_id: BackendServerId, result: Result, seconds: float, now: float
@@ -217,8 +220,9 @@
         """Forget a server that is gone or began anew."""
         watch = self._watches.get(server_id)
         if watch is not None:
-            fresh = _Watch(pending=watch.pending, streaming=watch.streaming)
-            self._watches[server_id] = fresh
+            self._watches[server_id] = _Watch(
+                pending=watch.pending, streaming=watch.streaming, renewed=True
+            )
             if not watch.pending:
                 del self._watches[server_id]
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -151,6 +151,8 @@
 _CONTROLLER = "tests.test_moves_controller.MoveControllerTest"
 _STORE = "tests.test_bundle_store.StoreTest"
 _BUNDLES = "tests.test_failures_bundles.BundleTest"
+_PLACEMENT = "tests.test_routing_placement"
+_WAITING = "tests.test_routing_waiting"
 
 MUTANTS = (
     Mutant(
@@ -609,6 +611,90 @@
         "await self._table.transact(writes)",
         "tests.test_duties.LeaseTest.test_paused_holder_cannot_write",
     ),
+    Mutant(
+        "placement-without-cache",
+        "cached parts in the cost of a server",
+        "bluebellshore/routing/placement.py",
+        "        cached = self._book.cached_tokens(call, server.server_id)",
+        "        cached = 0",
+        f"{_PLACEMENT}.ReplayTest.test_shared_parts_are_read_less_often",
+    ),
+    Mutant(
+        "placement-without-homes",
+        "homes of shared parts",
+        "bluebellshore/routing/placement.py",
+        "+ HOME_SECONDS * homes.get(option.server.server_id, 1.0)",
+        "+ 0.0",
+        f"{_PLACEMENT}.PlacerTest.test_routers_agree_on_a_home_unseen",
+    ),
+    Mutant(
+        "placement-without-backlog-bound",
+        "bound on prompts that wait to be read",
+        "bluebellshore/routing/placement.py",
+        "        return not option.load.prefill_tokens or "
+        "option.backlog_seconds <= limit",
+        "        return True",
+        f"{_PLACEMENT}.PlacerTest.test_a_request_waits_while_all_have_much_to_read",
+    ),
+    Mutant(
+        "placement-without-memory",
+        "bound on the memory of an engine",
+        "bluebellshore/routing/placement.py",
+        "        return load.held_tokens + needed <= memory",
+        "        return True",
+        f"{_PLACEMENT}.PlacerTest.test_memory_bounds_what_is_placed",
+    ),
+    Mutant(
+        "suspicion-leaves-none-out",
+        "servers left out by evidence",
+        "bluebellshore/routing/suspicion.py",
+        "        return [s for s in servers if s.server_id not in left_out]",
+        "        return list(servers)",
+        "tests.test_routing_suspicion.ReplayTest.test_grey_plain_server",
+    ),
+    Mutant(
+        "suspicion-without-bound",
+        "bound on the share left out",
+        "bluebellshore/routing/suspicion.py",
+        "            del suspects[room:]",
+        "            pass",
+        "tests.test_routing_suspicion.SuspicionTest"
+        ".test_no_more_than_half_are_left_out",
+    ),
+    Mutant(
+        "waiting-without-early-refusal",
+        "refusal of what is not expected to get a place in time",
+        "bluebellshore/routing/waiting.py",
+        "        if seconds > hold or now + seconds > last:",
+        "        if False:",
+        f"{_WAITING}.ReplayTest.test_burst",
+    ),
+    Mutant(
+        "waiting-in-order-of-arrival",
+        "order by time left, urgency and customer's share",
+        "bluebellshore/routing/waiting.py",
+        "        entries.sort(key=key)",
+        "        pass",
+        f"{_WAITING}.WaitingQueueTest.test_a_burst_of_one_customer_does_not_hold_up_others",
+    ),
+    Mutant(
+        "crashes-not-blamed",
+        "refusal of requests that crash servers",
+        "bluebellshore/routing/crashing.py",
+        "        return crashes >= CRASHES_BLAMED",
+        "        return False",
+        "tests.test_routing_crashing.ReplayTest"
+        ".test_a_crashing_request_that_comes_again_through_any_router",
+    ),
+    Mutant(
+        "repeats-unlimited-on-the-direct-path",
+        "share of repeats in a window",
+        "bluebellshore/routing/retry_window.py",
+        "            return False\n        self._repeats",
+        "            pass\n        self._repeats",
+        "tests.test_routing_retry_window.RetryWindowTest"
+        ".test_no_window_has_more_than_its_share",
+    ),
 )
 
 
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -7,6 +7,7 @@
 from bluebellshore.routing.parts import HeldParts
 from bluebellshore.routing.results import Result
 from bluebellshore.routing.speed import FirstEventSample, SpeedBook
+from bluebellshore.routing.suspicion import Suspicion
 from tests.routing_calls import ENGINES, PLAIN, call, servers
 
 
@@ -83,6 +84,16 @@
         self.book.forget([self.server.server_id])
         self.assertEqual(self.book.cached_tokens(request, self.server.server_id), 0)
 
+    def test_nothing_is_kept_of_servers_that_are_gone(self):
+        book = LoadBook(Suspicion())
+        for number, server in enumerate(servers(200)):
+            ticket = book.begin(call(("a", 1000)), server, number)
+            book.forget([server.server_id])
+            book.first_event(ticket, number + 0.1)
+            book.end(ticket, Result.ANSWERED, number + 0.5)
+        self.assertEqual(book.report().loads_by_server, {})
+        self.assertEqual(book.known_servers, 0)
+
     def test_failed_attempts_teach_no_speed(self):
         for i in range(50):
             ticket = self.book.begin(call((f"p{i}", 1000)), self.server, i)
