Reach the placement experiment from the experiment command

Cause: the tables could be printed only by the module.

Ruled out: a plan of the load tool for it; the tables need no processes.

--- a/bluebellshore/load/commands.py
+++ b/bluebellshore/load/commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Protocol
 
@@ -10,6 +11,8 @@
 import uvloop
 
 from bluebellshore.errors import BluebellshoreError
+from bluebellshore.experiments import placement
+from bluebellshore.experiments.report import Report
 from bluebellshore.load.demo import run_demo
 from bluebellshore.load.deployments import DEPLOYMENTS_BY_NAME
 from bluebellshore.load.experiments import EXPERIMENTS_BY_NAME, standard_faults
@@ -28,6 +31,9 @@
 
 __all__ = ["demo", "experiment", "load", "local"]
 
+#: Experiments in simulated time, by the name that the command takes.
+SIMULATIONS_BY_NAME = {"placement": placement.run}
+
 
 class LocalArguments(Protocol):
     """Arguments of ``local``."""
@@ -103,9 +109,12 @@
 
     :raises FleetError: no such experiment, or the audit found something wrong.
     """
+    if args.name in SIMULATIONS_BY_NAME:
+        _simulate(SIMULATIONS_BY_NAME[args.name](range(1, args.seeds + 1)), args.output)
+        return
     make_plans = EXPERIMENTS_BY_NAME.get(args.name)
     if make_plans is None:
-        names = ", ".join(sorted(EXPERIMENTS_BY_NAME))
+        names = ", ".join(sorted([*EXPERIMENTS_BY_NAME, *SIMULATIONS_BY_NAME]))
         raise FleetError(f"no such experiment; there are {names}", step="experiment")
     reports = []
     for seed in range(1, args.seeds + 1):
@@ -115,6 +124,16 @@
     _report(f"Experiment {args.name}", reports, args.output)
 
 
+def _simulate(tables: Iterable[Report], output: Path | None) -> None:
+    """Print tables as they come, and write them all at the end."""
+    shown = []
+    for table in tables:
+        shown.append(f"{table}\n")
+        print(shown[-1], flush=True)
+    if output is not None:
+        output.write_text("\n".join(shown))
+
+
 def _report(title: str, reports: list[RunReport], output: Path | None) -> None:
     print(table_of(reports))
     if output is not None:
