Leave out engines that are far slower than their peers

Cause: a slow engine was only weighed by its expected first event; streams on it have long pauses.

Conclusion: left out above 2.5 times, only while the service as a whole keeps to what is expected. The gain is small: the backlog of a slow engine keeps requests away already.

--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -107,6 +107,8 @@
     def __init__(self, suspicion: Suspicion | None = None) -> None:
         self.speeds = SpeedBook()
         self._suspicion = suspicion
+        if suspicion is not None:
+            suspicion.slowness = self.speeds.slowness
         self._services_by_name: dict[ServiceName, Service] = {}
         self._service_by_server: dict[BackendServerId, ServiceName] = {}
         self._numbers = itertools.count(1)
--- a/bluebellshore/routing/speed.py
+++ b/bluebellshore/routing/speed.py
@@ -36,6 +36,9 @@
 RATIO_SECONDS = 4.0
 #: Servers are compared at most this often, in seconds.
 COMPARE_SECONDS = 0.2
+#: Observed against expected time of most servers above which none is called slow: all
+#: have more to do than is known here.
+CROWDED_RATIO = 1.2
 #: Slowness below which servers count as equal, and its upper bound.
 EQUAL_SLOWNESS = 1.5
 MAX_SLOWNESS = 8.0
@@ -157,6 +160,8 @@
         if len(own_by_server) < 2:
             return {}
         usual = max(statistics.median_low(own_by_server.values()), 1e-6)
+        if usual > CROWDED_RATIO:
+            return {}
         return {
             server_id: min(ratio / usual, MAX_SLOWNESS)
             for server_id, ratio in own_by_server.items()
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -6,13 +6,13 @@
 """
 
 import heapq
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NewType
 
 import msgspec
 
 from bluebellshore.fleet import BackendServer
-from bluebellshore.ids import BackendServerId
+from bluebellshore.ids import BackendServerId, ServiceName
 from bluebellshore.routing.results import Result, ResultCounts
 
 __all__ = ["Suspicion"]
@@ -48,6 +48,8 @@
 #: Streams of one server that, all without an event for the time given, show silence.
 SILENT_STREAMS = 3
 SILENT_SECONDS = 0.8
+#: Slowness above which a server is left out, until what showed it is too old to count.
+SLOW_LIMIT = 2.5
 #: Connections that break within this time break by one crash.
 CRASH_SECONDS = 0.2
 
@@ -91,9 +93,15 @@
     """Leaves servers out by evidence and brings them back by few requests.
 
     Every method takes `now` in monotonic seconds.
+
+    :ivar slowness: returns how many times slower a server of a service is than its
+        peers; a :class:`bluebellshore.routing.load.LoadBook` sets it.
     """
 
     def __init__(self) -> None:
+        self.slowness: Callable[[ServiceName, BackendServerId, float], float] = (
+            lambda service, server_id, now: 1.0
+        )
         self._watches: dict[BackendServerId, _Watch] = {}
         self._pending: dict[_Ticket, _Pending] = {}
         self._due: list[tuple[float, _Ticket]] = []
@@ -268,6 +276,8 @@
     def _is_suspect(
         self, server: BackendServer, servers: Sequence[BackendServer], now: float
     ) -> bool:
+        if self.slowness(server.service, server.server_id, now) > SLOW_LIMIT:
+            return True
         watch = self._watches.get(server.server_id)
         if watch is None:
             return False
@@ -308,7 +318,7 @@
 
     def _may_probe(self, server: BackendServer, now: float) -> bool:
         watch = self._watch(server.server_id)
-        if now < watch.until:
+        if now < watch.until or not watch.out:
             return False
         if now - watch.probed_at > PROBE_SECONDS:
             return True
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -145,6 +145,15 @@
         self.assertEqual(self.speeds.slowness("engines", "s1", 1.0), 1.0)
         self.assertEqual(self.speeds.slowness("engines", "s0", 60.0), 1.0)
 
+    def test_none_is_slow_while_all_are_crowded(self):
+        for i in range(80):
+            tokens = 200 + (i * 791) % 8000
+            self.note(f"s{i % 8}", tokens, 0.03 + tokens / 50_000)
+        for i in range(80):
+            factor = 9.0 if i % 8 == 0 else 3.0
+            self.note(f"s{i % 8}", 1000, factor * 0.05, now=1.0, ahead=1)
+        self.assertEqual(self.speeds.slowness("engines", "s0", 1.5), 1.0)
+
     def test_first_events_behind_others_teach_no_speed(self):
         for i in range(60):
             tokens = 200 + (i * 791) % 8000
--- a/tests/test_routing_suspicion.py
+++ b/tests/test_routing_suspicion.py
@@ -114,6 +114,14 @@
         self.suspicion.renew("engines-1")
         self.assertEqual(self.usable(), [0, 1, 2, 3])
 
+    def test_much_slower_servers_are_left_out(self):
+        self.suspicion.slowness = lambda service, server, now: (
+            4.0 if server == "engines-2" else 1.0
+        )
+        self.assertEqual(self.usable(), [0, 1, 3])
+        self.suspicion.slowness = lambda service, server, now: 4.0
+        self.assertEqual(len(self.usable()), 2)
+
     def test_counts_fade(self):
         self.suspicion.merge({"engines-1": ResultCounts(bad=3.0)}, 0.0)
         self.now = 30.0
