--- a/bluebellshore/load/fleet.py
+++ b/bluebellshore/load/fleet.py
@@ -18,6 +18,7 @@
 from bluebellshore.bundle.signing import generate_keypair, sign_bundle
 from bluebellshore.bundle.store import BundleStore
 from bluebellshore.load.process import FleetError, ManagedProcess
+from bluebellshore.platform.store import STORE_SECONDS, PlatformStore, open_store
 from bluebellshore.settings import (
     EngineSettings,
     PlatformSettings,
@@ -26,7 +27,6 @@
     ServiceSettings,
     SidecarSettings,
 )
-from bluebellshore.store.http import HttpPlatform
 
 __all__ = ["Fleet", "open_fleet", "wait_until"]
 
@@ -192,9 +192,10 @@
             return msgspec.json.decode(await response.read() or b"null")
 
     @asynccontextmanager
-    async def platform(self) -> AsyncIterator[HttpPlatform]:
+    async def platform(self) -> AsyncIterator[PlatformStore]:
         """Give a client of the platform stand-in."""
-        yield HttpPlatform(self.platform_url, self.session)
+        async with open_store(self.platform_url, call_seconds=STORE_SECONDS) as store:
+            yield store
 
     async def submit_bundle(self, bundle: Bundle) -> None:
         """Sign a bundle and have it accepted.
--- a/bluebellshore/load/local.py
+++ b/bluebellshore/load/local.py
@@ -27,6 +27,7 @@
     VersionName,
 )
 from bluebellshore.load.fleet import wait_until
+from bluebellshore.platform.store import STORE_SECONDS, PlatformStore, open_store
 from bluebellshore.porcelain import dump_state
 from bluebellshore.router import Router
 from bluebellshore.runtime import Role
@@ -41,7 +42,6 @@
 from bluebellshore.standin.engine import EngineStandin
 from bluebellshore.standin.platform import PlatformStandin
 from bluebellshore.standin.service import ServiceStandin
-from bluebellshore.store.http import HttpPlatform
 
 __all__ = ["LocalSystem", "local_bundle", "open_local"]
 
@@ -113,6 +113,7 @@
         self.operator_token = secrets.token_hex(8)
         self.link_token = secrets.token_hex(8)
         self.platform_url = ""
+        self.platform: PlatformStore
         self.routers: list[Router] = []
         self.sidecars: list[Sidecar] = []
         self.engines: list[EngineStandin] = []
@@ -123,11 +124,6 @@
         """Base URLs of the routers."""
         return [f"http://{router.address}" for router in self.routers]
 
-    @property
-    def platform(self) -> HttpPlatform:
-        """Client of the platform's service."""
-        return HttpPlatform(self.platform_url, self.session)
-
     async def submit(self, bundle: Bundle) -> None:
         """Sign a bundle and have it accepted."""
         signed = sign_bundle(bundle, self.private_key)
@@ -170,9 +166,12 @@
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
         system = LocalSystem(session)
-        platform = PlatformStandin(PlatformSettings(list_lag_seconds=0.2))
+        platform = PlatformStandin(PlatformSettings())
         await _start(stack, platform)
         system.platform_url = f"http://{platform.address}"
+        system.platform = await stack.enter_async_context(
+            open_store(system.platform_url, call_seconds=STORE_SECONDS)
+        )
         await system.submit(local_bundle())
         await _start_backends(stack, system)
         for number in range(router_count):
--- a/bluebellshore/options.py
+++ b/bluebellshore/options.py
@@ -205,8 +205,7 @@
     "pack_seconds": _seconds(
         "Time over which chunks of all streams are packed into one message.", 0, 1
     ),
-    "list_lag_seconds": _seconds("Delay before a change shows in the list.", 0),
-    "expiry_seconds": _seconds("An entry not announced for this long disappears."),
+    "history_seconds": _seconds("Time for which changes of rows are remembered."),
     "reads_per_second": _number("Limit of read operations; 0 for none.", 0),
     "writes_per_second": _number("Limit of write operations; 0 for none.", 0),
     "seed": _number("Seed of all random choices.", 0),
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -1,15 +1,12 @@
-"""Client of the platform's store."""
+"""Client of the platform's store: its tables and objects."""
 
 import asyncio
-import base64
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 from http import HTTPStatus
-from typing import NamedTuple, TypeVar
 from urllib.parse import quote
 
-import aiohttp
 import msgspec
-from yarl import URL
 
 from bluebellshore.errors import (
     HistoryLostError,
@@ -17,78 +14,52 @@
     PlatformUnavailableError,
     TransactionConflictError,
 )
-from bluebellshore.store import (
+from bluebellshore.platform.store_calls import Reply, StoreCalls
+from bluebellshore.platform.store_messages import (
+    PART,
+    ConflictAnswer,
+    NamesAnswer,
+    RowMessage,
+    RowsAnswer,
+    TransactionAnswer,
+    row_of,
+    split_key,
+    transaction_of,
+)
+from bluebellshore.store.interface import (
     ABSENT,
+    MAX_KEY_BYTES,
+    MAX_ROW_BYTES,
     Row,
     TableChange,
     TableSnapshot,
     Write,
 )
 
-__all__ = ["PlatformStore"]
+__all__ = ["STORE_SECONDS", "PlatformStore", "open_store"]
 
 #: Longest wait for an answer to a call that does not wait for changes. The slowest
 #: store that the operators describe answers within a third of a second.
 CALL_SECONDS = 1.0
+#: The same for routers, sidecars and operators, which have no caller waiting on the
+#: call and would rather know its outcome.
+STORE_SECONDS = 5.0
+#: Longest wait for an answer that moves an object: one of the largest takes a tenth
+#: of a second at the store's usual rate, which all callers share.
+OBJECT_SECONDS = 5.0
 #: Time beyond its own wait after which a wait for changes counts as lost.
 FEED_SLACK_SECONDS = 0.8
-REASON_CHARACTERS = 200
+#: Longest wait for changes that the store takes.
+MAX_WAIT_SECONDS = 30.0
+#: Entries and bytes of one transaction that the store takes.
+MAX_ENTRIES = 100
+MAX_CALL_BYTES = 1_000_000
+#: Rows of one answer at most.
 PAGE_ROWS = 500
-
-T = TypeVar("T")
-
-
-class _Reply(NamedTuple):
-    status: int
-    body: bytes
-
-
-class _Row(msgspec.Struct, rename="camel"):
-    #: First part of a row's key in the product's form, up to the first slash.
-    table_name: str
-    key: str
-    value: str = ""
-    row_version: int = 0
-    deleted: bool = False
-
-
-class _RowsAnswer(msgspec.Struct, rename="camel"):
-    rows: list[_Row] = msgspec.field(default_factory=list)
-    has_more: bool = False
-    #: Newest version of the whole store.
-    row_version: int = 0
-
-
-class _Expected(msgspec.Struct, rename="camel"):
-    table_name: str
-    key: str
-    row_version: int
-    part: str = ""
-
-
-class _Written(msgspec.Struct, rename="camel"):
-    table_name: str
-    key: str
-    value: str
-    part: str = ""
-
-
-class _Removed(msgspec.Struct, rename="camel"):
-    table_name: str
-    key: str
-    part: str = ""
-
-
-class _Transaction(msgspec.Struct, rename="camel"):
-    #: Versions that rows must have, 0 for a row that must not exist.
-    expected_revision: list[_Expected]
-    write: list[_Written]
-    remove: list[_Removed]
-
-
-class _Names(msgspec.Struct, rename="camel"):
-    names: list[str] = msgspec.field(default_factory=list)
-    has_more: bool = False
+#: Calls of one read under way at once.
+READS_AT_ONCE = 16
+JSON_HEADERS = {"Content-Type": "application/json"}
+HIGHEST_CHARACTER = "\U0010ffff"
 
 
 class PlatformStore:
@@ -96,95 +67,108 @@
 
     A row's key is ``table/rest``; all rows lie in the empty part of their table.
 
-    :param address: ``host:port`` of the store.
+    :param address: ``host:port`` of the store, or its base URL.
     :param call_seconds: time allowed for one call.
+    :param row_bytes: bytes of a row's value that the store takes.
+    :param local_host: address from which calls are made; empty for any.
     """
 
-    def __init__(self, address: str, *, call_seconds: float = CALL_SECONDS):
-        self._address = address
-        self._call_seconds = call_seconds
-        self._session: aiohttp.ClientSession | None = None
-        self.calls = 0
+    def __init__(
+        self,
+        address: str,
+        *,
+        call_seconds: float = CALL_SECONDS,
+        row_bytes: int = MAX_ROW_BYTES,
+        local_host: str = "",
+    ):
+        self._calls = StoreCalls(address, call_seconds, local_host)
+        self._object_seconds = max(OBJECT_SECONDS, call_seconds)
+        self._row_bytes = row_bytes
+
+    @property
+    def calls(self) -> int:
+        """Number of calls made."""
+        return self._calls.count
 
     async def open(self) -> None:
         """Prepare for calls."""
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=None),
-            auto_decompress=False,
-        )
-        # aiohttp repeats a PUT whose answer was lost. The creator of an object would
-        # then see it as another's.
-        self._session._retry_connection = False
+        await self._calls.open()
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._calls.close()
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row]:
         """Read rows; absent ones are left out. :return: rows by key."""
-        found = await asyncio.gather(*(self._read_one(key) for key in keys))
+        slots = asyncio.Semaphore(READS_AT_ONCE)
+
+        async def read_one(key: str) -> Row | None:
+            async with slots:
+                return await self._read_one(key)
+
+        found = await asyncio.gather(*map(read_one, dict.fromkeys(keys)))
         return {row.key: row for row in found if row is not None}
 
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
         """Read rows in key order whose key has `prefix` and is above `after`."""
-        table, start = _split(prefix)
-        if after:
-            start = max(start, _split(after)[1] + "\0")
+        table, start = split_key(prefix)
+        if after > prefix:
+            if not after.startswith(f"{table}/"):
+                return []  # above all rows of the table
+            start = after.removeprefix(f"{table}/")
+        target = _end_of(split_key(prefix)[1])
+        if target and start >= target:
+            return []
         rows: list[Row] = []
         while len(rows) < limit:
-            page = await self._page(
-                table,
-                from_=start,
-                target=_end_of(_split(prefix)[1]),
-                limit=min(limit - len(rows), PAGE_ROWS),
-            )
-            rows += [_row(row) for row in page.rows]
-            if not page.has_more or not page.rows:
+            # A page begins with its first key, which may be the last one seen.
+            size = min(limit - len(rows) + 1, PAGE_ROWS)
+            page = await self._page(table, start, size, target)
+            fresh = [row_of(row) for row in page.rows]
+            last = rows[-1].key if rows else after
+            rows += [row for row in fresh if row.key > last]
+            if not page.has_more:
                 break
-            start = page.rows[-1].key + "\0"
-        return rows
+            start = self._next_start(page, start)
+        return rows[:limit]
 
     async def snapshot(self, table: str) -> TableSnapshot:
         """Read a whole table, to be followed by :meth:`feed`."""
-        rows: dict[str, Row] = {}
+        rows_by_key: dict[str, Row] = {}
         start, version = "", None
         while True:
-            page = await self._page(table, from_=start, limit=PAGE_ROWS)
-            # Changes during a later page are seen again in the feed, which is harmless.
+            page = await self._page(table, start, PAGE_ROWS)
+            # What changes during a later page is told again by the feed.
             version = page.row_version if version is None else version
-            rows |= {_key(row): _row(row) for row in page.rows}
-            if not page.has_more or not page.rows:
-                return TableSnapshot(rows_by_key=rows, version=version)
-            start = page.rows[-1].key + "\0"
+            rows_by_key |= {row.full_key: row_of(row) for row in page.rows}
+            if not page.has_more:
+                return TableSnapshot(rows_by_key, version)
+            start = self._next_start(page, start)
 
     async def feed(
         self, table: str, after_version: int, wait_seconds: float
     ) -> TableChange:
-        """Wait for changes of a table.
+        """Wait for changes of a table, for at most :data:`MAX_WAIT_SECONDS`.
 
         :raises HistoryLostError: the store forgot changes after that version.
         """
         step = "store.feed"
+        wait_seconds = min(wait_seconds, MAX_WAIT_SECONDS)
         query = {
             "tableName": table,
             "startRevision": str(after_version),
             "waitMs": str(int(wait_seconds * 1000)),
         }
         limit = wait_seconds + FEED_SLACK_SECONDS
-        reply = await self._request("GET", "/rows-feed", step, query, seconds=limit)
+        reply = await self._calls.call("GET", "/rows-feed", step, query, seconds=limit)
         if reply.status == HTTPStatus.GONE:
             raise HistoryLostError(
-                f"no history after {after_version}", step=step, peer=self._address
+                f"no history after {after_version}",
+                step=step,
+                peer=self._calls.address,
             )
-        answer = self._decode(reply, _RowsAnswer, step)
-        return TableChange(
-            rows=[_row(row) for row in answer.rows if not row.deleted],
-            removed_by_key={
-                _key(row): row.row_version for row in answer.rows if row.deleted
-            },
-            version=max(answer.row_version, after_version),
-        )
+        answer = self._calls.decode(reply, RowsAnswer, step)
+        return self._change(answer, table, after_version)
 
     async def transact(self, writes: Sequence[Write]) -> dict[str, int]:
         """Apply all writes or none.
@@ -193,169 +177,243 @@
         :raises TransactionConflictError: a row had another version.
         """
         step = "store.transact"
-        body = msgspec.json.encode(_transaction(writes))
-        reply = await self._request("POST", "/rows-tx", step, body=body)
-        if reply.status == HTTPStatus.PRECONDITION_FAILED:
-            raise self._conflict(reply, writes, step)
+        if not writes:
+            return {}
+        body = self._transaction_body(writes, step)
+        reply = await self._calls.call(
+            "POST", "/rows-tx", step, body=body, headers=JSON_HEADERS
+        )
         try:
-            version = self._decode(reply, _RowsAnswer, step).row_version
-        except PlatformUnavailableError:
+            version = self._outcome(reply, writes, step)
+        except (PlatformUnavailableError, TransactionConflictError):
             raise
         except PlatformError as error:
-            if HTTPStatus.BAD_REQUEST <= reply.status < 500:
+            refused = HTTPStatus.BAD_REQUEST <= reply.status < 500
+            if reply.status == HTTPStatus.INSUFFICIENT_STORAGE or (
+                refused and reply.status != HTTPStatus.PRECONDITION_FAILED
+            ):
                 raise
             # An answer that cannot be understood leaves the outcome unknown.
-            raise PlatformUnavailableError(
-                error.message, step=step, peer=self._address
-            ) from error
+            raise self._calls.unavailable(error.message, step) from error
         return {w.key: ABSENT if w.value is None else version for w in writes}
 
     async def put(self, name: str, data: bytes, *, if_absent: bool = False) -> bool:
         """Store an object. :return: False when it existed and `if_absent`."""
         step = "store.put"
-        headers = {"If-None-Match": "*"} if if_absent else None
-        path = f"/blob-put/{quote(name, safe='')}"
-        reply = await self._request("PUT", path, step, body=data, headers=headers)
+        headers = {"Content-Type": "application/octet-stream"}
+        if if_absent:
+            headers["If-None-Match"] = "*"
+        reply = await self._object_call("PUT", "/blob-put/", name, step, data, headers)
         if reply.status == HTTPStatus.PRECONDITION_FAILED and if_absent:
             return False
-        self._check_status(reply, step)
+        self._calls.check(reply, step)
         return True
 
     async def get(self, name: str) -> bytes | None:
         """Fetch an object, None when absent."""
         step = "store.get"
-        reply = await self._request("GET", f"/blob-get/{quote(name, safe='')}", step)
+        reply = await self._object_call("GET", "/blob-get/", name, step)
         if reply.status == HTTPStatus.NOT_FOUND:
             return None
-        self._check_status(reply, step)
+        self._calls.check(reply, step)
         return reply.body
 
     async def delete(self, name: str) -> None:
         """Remove an object; absent ones are no error."""
         step = "store.delete"
-        path = f"/blob-drop/{quote(name, safe='')}"
-        reply = await self._request("DELETE", path, step)
+        reply = await self._object_call("DELETE", "/blob-drop/", name, step)
         if reply.status != HTTPStatus.NOT_FOUND:
-            self._check_status(reply, step)
+            self._calls.check(reply, step)
+
+    async def names(self, prefix: str) -> list[str]:
+        """Return the names of all objects that begin with `prefix`, in order."""
+        step = "store.names"
+        names: list[str] = []
+        while True:
+            query = {"prefix": prefix}
+            if names:
+                query["startRevision"] = names[-1]
+            reply = await self._calls.call("GET", "/blob-list", step, query)
+            page = self._calls.decode(reply, NamesAnswer, step)
+            if page.names != sorted(set(page.names)) or (
+                names and page.names[:1] <= names[-1:]
+            ):
+                raise self._calls.malformed("names out of order", step)
+            names += page.names
+            if not page.has_more:
+                return names
+            if not page.names:
+                raise self._calls.malformed("an empty page with more to come", step)
 
     async def _read_one(self, key: str) -> Row | None:
-        table, rest = _split(key)
-        page = await self._page(table, from_=rest, target=rest + "\0", limit=1)
-        return _row(page.rows[0]) if page.rows else None
+        table, rest = split_key(key)
+        page = await self._page(table, rest, 1)
+        found = page.rows and page.rows[0].key == rest
+        return row_of(page.rows[0]) if found else None
 
     async def _page(
-        self, table: str, *, from_: str = "", target: str = "", limit: int
-    ) -> _RowsAnswer:
-        query = {"tableName": table, "part": "", "limit": str(limit)}
-        if from_:
-            query["from"] = from_
+        self, table: str, start: str, limit: int, target: str = ""
+    ) -> RowsAnswer:
+        """Read rows from `start` on, below `target` when it is not empty."""
+        step = "store.read"
+        query = {"tableName": table, "part": PART, "limit": str(limit)}
+        if start:
+            query["from"] = start
         if target:
             query["target"] = target
-        reply = await self._request("GET", "/rows-get", "store.read", query)
-        return self._decode(reply, _RowsAnswer, "store.read")
+        reply = await self._calls.call("GET", "/rows-get", step, query)
+        page = self._calls.decode(reply, RowsAnswer, step)
+        if len(page.rows) > limit:
+            raise self._calls.malformed("more rows than asked for", step)
+        last: str | None = None
+        for row in page.rows:
+            in_range = row.key >= start and not (target and row.key >= target)
+            if row.table_name != table or row.part != PART or not in_range:
+                raise self._calls.malformed(f"row {row.key!r} not asked for", step)
+            if row.deleted or (last is not None and row.key <= last):
+                raise self._calls.malformed(f"row {row.key!r} out of order", step)
+            last = row.key
+            self._check_row(row, step)
+        return page
+
+    def _next_start(self, page: RowsAnswer, start: str) -> str:
+        """Return where the next page begins.
+
+        :raises PlatformError: the page leads no further.
+        """
+        if not page.rows or page.rows[-1].key == start:
+            raise self._calls.malformed("a page that leads no further", "store.read")
+        return page.rows[-1].key
 
-    async def _request(
-        self,
-        method: str,
-        path: str,
-        step: str,
-        query: dict[str, str] | None = None,
-        *,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-        seconds: float | None = None,
-    ) -> _Reply:
-        """Make one call.
+    def _change(
+        self, answer: RowsAnswer, table: str, after_version: int
+    ) -> TableChange:
+        """Return the last change of each row; other parts are not the product's."""
+        last_by_key: dict[str, RowMessage] = {}
+        for row in answer.rows:
+            if row.table_name != table:
+                raise self._calls.malformed("a row of another table", "store.feed")
+            if row.part == PART:
+                self._check_row(row, "store.feed")
+                last_by_key[row.full_key] = row
+        changes = last_by_key.values()
+        return TableChange(
+            rows=[row_of(row) for row in changes if not row.deleted],
+            removed_by_key={
+                row.full_key: row.row_version for row in changes if row.deleted
+            },
+            version=max(answer.row_version, after_version),
+        )
 
-        :raises PlatformUnavailableError: no whole answer came in time.
-        """
-        url = URL(f"http://{self._address}{path}", encoded=True)
-        if query:
-            url = url.with_query(query)
-        sent = {"Content-Type": "application/json", **(headers or {})}
-        self.calls += 1
+    def _check_row(self, row: RowMessage, step: str) -> None:
         try:
-            async with (
-                asyncio.timeout(seconds or self._call_seconds),
-                self._session.request(
-                    method, url, data=body, headers=sent, allow_redirects=False
-                ) as response,
-            ):
-                return _Reply(response.status, await response.read())
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            reason = str(error) or type(error).__name__
-            raise PlatformUnavailableError(
-                reason, step=step, peer=self._address
-            ) from error
-
-    def _check_status(self, reply: _Reply, step: str) -> None:
-        if 200 <= reply.status < 300:
-            return
-        text = reply.body.decode(errors="replace")[:REASON_CHARACTERS]
-        reason = f"status {reply.status}: {text}"
-        if reply.status >= 500 or reply.status == HTTPStatus.TOO_MANY_REQUESTS:
-            raise PlatformUnavailableError(reason, step=step, peer=self._address)
-        raise PlatformError(reason, step=step, peer=self._address)
-
-    def _decode(self, reply: _Reply, message_type: type[T], step: str) -> T:
-        self._check_status(reply, step)
-        try:
-            return msgspec.json.decode(reply.body, type=message_type)
-        except (msgspec.DecodeError, ValueError, RecursionError) as error:
-            raise PlatformError(
-                f"malformed answer: {error}", step=step, peer=self._address
-            ) from error
+            row_of(row)
+        except ValueError as error:
+            raise self._calls.malformed(str(error), step) from error
+
+    def _transaction_body(self, writes: Sequence[Write], step: str) -> bytes:
+        """Encode a transaction.
+
+        :raises PlatformError: the store would not take it.
+        """
+        transaction = transaction_of(writes)
+        body = msgspec.json.encode(transaction)
+        problems = [
+            *(
+                f"key {write.key!r} above {MAX_KEY_BYTES} bytes"
+                for write in writes
+                if len(write.key.encode()) > MAX_KEY_BYTES
+            ),
+            *(
+                f"value of {write.key!r} above {self._row_bytes} bytes"
+                for write in writes
+                if write.value is not None and len(write.value) > self._row_bytes
+            ),
+        ]
+        if len({write.key for write in writes}) < len(writes):
+            problems.append("a transaction writes a row twice")
+        if transaction.entries > MAX_ENTRIES:
+            problems.append(f"{transaction.entries} entries, above {MAX_ENTRIES}")
+        if len(body) > MAX_CALL_BYTES:
+            problems.append(f"{len(body)} bytes, above {MAX_CALL_BYTES}")
+        if problems:
+            message = f"transaction too large or twofold: {'; '.join(problems)}"
+            raise PlatformError(message, step=step, peer=self._calls.address)
+        return body
+
+    def _outcome(self, reply: Reply, writes: Sequence[Write], step: str) -> int:
+        """Return the version at which a transaction was applied."""
+        if reply.status == HTTPStatus.PRECONDITION_FAILED:
+            raise self._conflict(reply, writes, step)
+        version = self._calls.decode(reply, TransactionAnswer, step).row_version
+        if version <= max(write.expect for write in writes):
+            raise self._calls.malformed(f"version {version} is not new", step)
+        return version
 
     def _conflict(
-        self, reply: _Reply, writes: Sequence[Write], step: str
+        self, reply: Reply, writes: Sequence[Write], step: str
     ) -> PlatformError:
         """Return the error that names the rows whose version differed."""
-        try:
-            answer = msgspec.json.decode(reply.body, type=_RowsAnswer)
-        except (msgspec.DecodeError, ValueError) as error:
-            return PlatformUnavailableError(
-                f"malformed conflict: {error}", step=step, peer=self._address
-            )
-        rows = {_key(row): _row(row) for row in answer.rows if not row.deleted}
+        answer = self._calls.decode_body(reply, ConflictAnswer, step)
+        keys = {write.key for write in writes}
+        rows_by_key: dict[str, Row] = {}
+        for row in answer.rows:
+            if row.part != PART or row.full_key not in keys:
+                return self._calls.malformed("rows that were not written", step)
+            if not row.deleted and row.row_version != ABSENT:
+                self._check_row(row, step)
+                rows_by_key[row.full_key] = row_of(row)
         differing = [
             write.key
             for write in writes
-            if (rows[write.key].version if write.key in rows else ABSENT)
-            != write.expect
+            if _version_of(rows_by_key.get(write.key)) != write.expect
         ]
+        if not differing:
+            return self._calls.malformed("a conflict without a cause", step)
         return TransactionConflictError(
-            differing, step=step, peer=self._address, rows_by_key=rows
+            differing, step=step, peer=self._calls.address, rows_by_key=rows_by_key
         )
 
-
-def _split(key: str) -> tuple[str, str]:
-    table, _, rest = key.partition("/")
-    return table, rest
-
-
-def _end_of(prefix: str) -> str:
-    """Return the first key above all that begin with `prefix`; empty for no end."""
-    if not prefix:
-        return ""
-    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+    async def _object_call(
+        self,
+        method: str,
+        path: str,
+        name: str,
+        step: str,
+        data: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        return await self._calls.call(
+            method,
+            path + quote(name, safe=""),
+            step,
+            body=data,
+            headers=headers,
+            seconds=self._object_seconds,
+        )
 
 
-def _key(row: _Row) -> str:
-    return f"{row.table_name}/{row.key}"
+@asynccontextmanager
+async def open_store(address: str, **options: object) -> AsyncIterator[PlatformStore]:
+    """Give a client of the store at `address`; see :class:`PlatformStore`."""
+    store = PlatformStore(address, **options)
+    await store.open()
+    try:
+        yield store
+    finally:
+        await store.close()
 
 
-def _row(row: _Row) -> Row:
-    return Row(_key(row), row.row_version, base64.b64decode(row.value))
+def _version_of(row: Row | None) -> int:
+    return ABSENT if row is None else row.version
 
 
-def _transaction(writes: Sequence[Write]) -> _Transaction:
-    transaction = _Transaction([], [], [])
-    for write in writes:
-        table, rest = _split(write.key)
-        transaction.expected_revision.append(_Expected(table, rest, write.expect))
-        if write.value is None:
-            transaction.remove.append(_Removed(table, rest))
-        else:
-            value = base64.b64encode(write.value).decode()
-            transaction.write.append(_Written(table, rest, value))
-    return transaction
+def _end_of(prefix: str) -> str:
+    """Return the first key above all that begin with `prefix`; empty for no end."""
+    stem = prefix.rstrip(HIGHEST_CHARACTER)
+    if not stem:
+        return ""
+    following = ord(stem[-1]) + 1
+    if 0xD800 <= following <= 0xDFFF:
+        following = 0xE000  # surrogates are no characters of their own
+    return stem[:-1] + chr(following)
--- a/bluebellshore/porcelain/bundles.py
+++ b/bluebellshore/porcelain/bundles.py
@@ -18,9 +18,10 @@
 from bluebellshore.bundle.store import BundleStore
 from bluebellshore.errors import BluebellshoreError, PlatformError
 from bluebellshore.ids import BundleNumber, InstanceId
+from bluebellshore.platform.store import PlatformStore
 from bluebellshore.porcelain.clients import open_platform, request
 from bluebellshore.settings import SubmitSettings
-from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store import TableInstances
 from bluebellshore.store.interface import Instance, InstanceRole
 
 __all__ = [
@@ -128,8 +129,8 @@
     return await _offer(signed.number, update, routers, settings.operator_token)
 
 
-async def _routers(platform: HttpPlatform) -> list[Instance]:
-    instances = await platform.fetch()
+async def _routers(platform: PlatformStore) -> list[Instance]:
+    instances = await TableInstances(platform).fetch()
     return [i for i in instances if i.role is InstanceRole.ROUTER]
 
 
--- a/bluebellshore/porcelain/clients.py
+++ b/bluebellshore/porcelain/clients.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from bluebellshore.errors import BluebellshoreError, RefusedError
-from bluebellshore.store.http import HttpPlatform
+from bluebellshore.platform.store import STORE_SECONDS, PlatformStore, open_store
 
 __all__ = ["open_platform", "request"]
 
@@ -15,10 +15,10 @@
 
 
 @asynccontextmanager
-async def open_platform(platform_url: str) -> AsyncIterator[HttpPlatform]:
-    """Give a client of the platform."""
-    async with aiohttp.ClientSession() as session:
-        yield HttpPlatform(platform_url, session)
+async def open_platform(platform_url: str) -> AsyncIterator[PlatformStore]:
+    """Give a client of the platform's store."""
+    async with open_store(platform_url, call_seconds=STORE_SECONDS) as store:
+        yield store
 
 
 async def request(
--- a/bluebellshore/porcelain/readback.py
+++ b/bluebellshore/porcelain/readback.py
@@ -13,7 +13,7 @@
 from bluebellshore.moves.rows import MoveRow, MoveState, move_key
 from bluebellshore.porcelain.clients import open_platform, request
 from bluebellshore.settings import OperatorSettings
-from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store import TableInstances, TableService
 from bluebellshore.store.interface import Instance, InstanceRole, Row
 
 __all__ = [
@@ -142,7 +142,7 @@
     """Return which bundle is in force on which instance."""
     async with open_platform(settings.platform_url) as platform:
         head = await BundleStore(platform, platform).head()
-        instances = await platform.fetch()
+        instances = await TableInstances(platform).fetch()
     routers = [i for i in instances if i.role is InstanceRole.ROUTER]
     answers = await asyncio.gather(
         *(_router_rollout(router, settings.operator_token) for router in routers)
@@ -178,7 +178,7 @@
     return views
 
 
-async def _read_rows(platform: HttpPlatform, keys: Sequence[str]) -> dict[str, Row]:
+async def _read_rows(platform: TableService, keys: Sequence[str]) -> dict[str, Row]:
     rows_by_key: dict[str, Row] = {}
     for start in range(0, len(keys), ROWS_PER_READ):
         rows_by_key |= await platform.read(keys[start : start + ROWS_PER_READ])
--- a/bluebellshore/router/duties.py
+++ b/bluebellshore/router/duties.py
@@ -18,7 +18,7 @@
 from bluebellshore.router.gossip import Gossip
 from bluebellshore.router.jobs import JobRunner
 from bluebellshore.settings import RouterSettings
-from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store import TableService
 from bluebellshore.wire import link_pb2 as pb
 
 __all__ = ["RouterDuties"]
@@ -33,7 +33,7 @@
     def __init__(
         self,
         *,
-        platform: HttpPlatform,
+        platform: TableService,
         settings: RouterSettings,
         incarnation: IncarnationId,
         board: MoveBoard,
--- a/bluebellshore/router/incarnation.py
+++ b/bluebellshore/router/incarnation.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import aiohttp
 import eliot
 
 from bluebellshore.budget import Accountant, AccountantTimes, make_policy
@@ -24,6 +23,7 @@
 from bluebellshore.metrics import make_metrics
 from bluebellshore.moves.board import MoveBoard
 from bluebellshore.operator_port import OperatorPort, public_settings
+from bluebellshore.platform.store import STORE_SECONDS, PlatformStore
 from bluebellshore.router.attempts import Attempts
 from bluebellshore.router.dispatch import Dispatcher
 from bluebellshore.router.duties import RouterDuties
@@ -39,8 +39,13 @@
     RoundRobinBalancer,
 )
 from bluebellshore.settings import RouterSettings
-from bluebellshore.store import Instance, InstanceRole, InstanceState
-from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store import (
+    Instance,
+    InstanceRole,
+    InstanceState,
+    TableInstances,
+)
+from bluebellshore.store.instances import VALID_ANNOUNCEMENTS
 from bluebellshore.wire import RouterLink
 from bluebellshore.wire import link_pb2 as pb
 
@@ -80,8 +85,14 @@
     async def prepare(self) -> None:
         """Get ready to serve: a bundle, links to sidecars, the operator port."""
         settings = self.settings
-        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=None))
-        self._platform = HttpPlatform(settings.platform_url, self._session)
+        self._platform = PlatformStore(
+            settings.platform_url, call_seconds=STORE_SECONDS
+        )
+        await self._platform.open()
+        self._instances = TableInstances(
+            self._platform,
+            valid_seconds=VALID_ANNOUNCEMENTS * settings.announce_seconds,
+        )
         verifier = Verifier(bytes.fromhex(key) for key in settings.trust_keys)
         self._keeper = BundleKeeper(verifier, self._platform, self._platform)
         self._board = MoveBoard(InstanceId(settings.instance_id))
@@ -127,7 +138,7 @@
         )
         await self._start_operator_port()
         self._announcer = Announcer(
-            self._platform,
+            self._instances,
             InstanceRole.ROUTER,
             settings,
             address=lambda: self.operator_address,
@@ -211,7 +222,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._pool.stop()
         await self._port.stop()
-        await self._session.close()
+        await self._platform.close()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state of this process for a dump."""
@@ -303,7 +314,7 @@
     async def _poll_list(self) -> None:
         listed = {
             instance.address: instance
-            for instance in await self._platform.fetch()
+            for instance in await self._instances.fetch()
             if instance.role is InstanceRole.SIDECAR
         }
         now = asyncio.get_running_loop().time()
--- a/bluebellshore/settings.py
+++ b/bluebellshore/settings.py
@@ -140,15 +140,13 @@
 class PlatformSettings:
     """Settings of the platform stand-in.
 
-    :param list_lag_seconds: delay before a change shows in the instance list.
-    :param expiry_seconds: an entry not announced for this long disappears.
+    :param history_seconds: time for which changes of rows are remembered.
     :param reads_per_second: limit of read operations; 0 for none.
     :param writes_per_second: limit of write operations; 0 for none.
     """
 
     listen: str = "127.0.0.1:0"
-    list_lag_seconds: float = 1.0
-    expiry_seconds: float = 5.0
+    history_seconds: float = 20.0
     reads_per_second: float = 0.0
     writes_per_second: float = 0.0
     seed: int = 1
--- a/bluebellshore/sidecar/sidecar.py
+++ b/bluebellshore/sidecar/sidecar.py
@@ -20,6 +20,7 @@
 from bluebellshore.metrics import make_metrics
 from bluebellshore.moves.evidence import EvidenceRecorder, Served
 from bluebellshore.operator_port import OperatorPort, public_settings
+from bluebellshore.platform.store import STORE_SECONDS, PlatformStore
 from bluebellshore.settings import SidecarSettings
 from bluebellshore.sidecar.backend import BackendClient
 from bluebellshore.sidecar.exchange import Exchange
@@ -38,7 +39,7 @@
 )
 from bluebellshore.sidecar.streams import Answer, AnswerStore
 from bluebellshore.store import InstanceRole
-from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store.instances import VALID_ANNOUNCEMENTS, TableInstances
 from bluebellshore.wire import LinkServer, SidecarLink
 from bluebellshore.wire import link_pb2 as pb
 
@@ -90,8 +91,15 @@
         self._session = aiohttp.ClientSession(
             connector=connector, timeout=aiohttp.ClientTimeout(total=None)
         )
+        self._platform = PlatformStore(
+            settings.platform_url, call_seconds=STORE_SECONDS
+        )
+        await self._platform.open()
         self._announcer = Announcer(
-            HttpPlatform(settings.platform_url, self._session),
+            TableInstances(
+                self._platform,
+                valid_seconds=VALID_ANNOUNCEMENTS * settings.announce_seconds,
+            ),
             InstanceRole.SIDECAR,
             settings,
             address=lambda: self.address,
@@ -165,6 +173,7 @@
         await self._server.stop()
         await self._port.stop()
         await self._session.close()
+        await self._platform.close()
 
     def _routers_may_send(self) -> bool:
         """Return whether a request may be on its way here."""
--- a/bluebellshore/standin/platform.py
+++ b/bluebellshore/standin/platform.py
@@ -1,129 +1,92 @@
-"""Stand-in for the platform's table service, object store and instance list."""
+"""Stand-in for the platform's store, with the calls that the platform publishes."""
 
+import asyncio
 import random
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 
-import msgspec
 from aiohttp import web
 
-from bluebellshore.errors import (
-    PlatformError,
-    PlatformUnavailableError,
-    TransactionConflictError,
-)
-from bluebellshore.ids import InstanceId
 from bluebellshore.settings import PlatformSettings
+from bluebellshore.standin.platform_faults import (
+    FaultState,
+    NoAnswer,
+    PartQueues,
+    PlatformFaults,
+    RateLimit,
+)
+from bluebellshore.standin.platform_messages import (
+    PlatformCounts,
+    TransactionBody,
+    changed_row,
+    check_transaction,
+    decode_value,
+    shown_row,
+)
+from bluebellshore.standin.platform_objects import (
+    OBJECT_BYTES,
+    ObjectShelf,
+    ShelfFull,
+)
+from bluebellshore.standin.platform_rows import (
+    HistoryGone,
+    RowId,
+    RowStore,
+    VersionsDiffer,
+)
 from bluebellshore.standin.server import (
     MAX_BODY_BYTES,
     HttpServer,
     decode_body,
     json_response,
 )
-from bluebellshore.store.interface import Instance, InstanceState
-from bluebellshore.store.memory import (
-    MemoryFaults,
-    MemoryInstances,
-    MemoryObjects,
-    MemoryTable,
-    OperationCounts,
-)
-from bluebellshore.store.messages import (
-    ConflictAnswer,
-    InstancesAnswer,
-    ReadRequest,
-    RowsAnswer,
-    ScanRequest,
-    TransactAnswer,
-    TransactRequest,
-)
-
-__all__ = [
-    "PlatformFaults",
-    "PlatformStandin",
-    "PlatformState",
-    "RateLimit",
-    "build_app",
-]
-
-
-class PlatformFaults(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of ``POST /control/faults``; fields left out stay as they are.
-
-    See :class:`~bluebellshore.store.MemoryFaults` for their meaning. The instance
-    list fails on its own.
-
-    :param list_outage: whether the instance list gives no answers.
-    """
-
-    outage: bool | None = None
-    list_outage: bool | None = None
-    fail_next: int | None = None
-    lose_next: int | None = None
-    lose_answers: float | None = None
-    delay_seconds: float | None = None
-    answer_delay_seconds: float | None = None
-
 
-class StateChange(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of ``POST /control/instances/{id}``."""
+__all__ = ["PlatformStandin", "PlatformState", "build_app"]
 
-    state: InstanceState = InstanceState.LEAVING
+PAGE_ROWS = 500
+PAGE_BYTES = 1_000_000
+PAGE_NAMES = 1000
+CALL_BYTES = 1_000_000
+MAX_WAIT_MS = 30_000
+#: Bytes of a row's value.
+ROW_BYTES = 65_536
+#: Tables that only the operator and the backend servers write.
+OPERATOR_TABLES = frozenset({"op", "servers"})
+#: Name by which a partial outage concerns the objects.
+OBJECTS = "objects"
+POLL_SECONDS = 0.02
 
 
-class RateLimit:
-    """Token bucket that holds one second's operations; a rate of 0 has no limit."""
-
-    def __init__(self, per_second: float):
-        self._per_second = per_second
-        self._tokens = per_second
-        self._filled = 0.0
-
-    def take(self, now: float) -> bool:
-        """Count one operation. :return: False when the limit is reached."""
-        if not self._per_second:
-            return True
-        gained = (now - self._filled) * self._per_second
-        self._tokens = min(self._per_second, self._tokens + gained)
-        self._filled = now
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-
-@dataclass
 class PlatformState:
-    """The twins behind the server, sharing faults and counts."""
-
-    settings: PlatformSettings
-    counts: OperationCounts = field(default_factory=OperationCounts)
-
-    def __post_init__(self):
-        settings = self.settings
-        self.faults = MemoryFaults(rng=random.Random(settings.seed))
-        self.table = MemoryTable(self.faults, self.counts)
-        self.objects = MemoryObjects(self.faults, self.counts)
-        self.list_faults = MemoryFaults(rng=random.Random(settings.seed))
-        self.instances = MemoryInstances(
-            self.list_faults,
-            self.counts,
-            lag_seconds=settings.list_lag_seconds,
-            expiry_seconds=settings.expiry_seconds,
-        )
+    """Rows, objects, faults, rates and counts behind the server."""
+
+    def __init__(self, settings: PlatformSettings):
+        self.rows = RowStore(settings.history_seconds)
+        self.objects = ObjectShelf()
+        self.faults = FaultState(random.Random(settings.seed))
+        self.parts = PartQueues(time.monotonic)
         self.reads = RateLimit(settings.reads_per_second)
         self.writes = RateLimit(settings.writes_per_second)
+        self.counts = PlatformCounts()
+        self.closing = asyncio.Event()
+        self.late: set[asyncio.Task] = set()
 
     def set_faults(self, faults: PlatformFaults) -> None:
         """Change the faults that `faults` names."""
-        changes = msgspec.structs.asdict(faults)
-        list_outage = changes.pop("list_outage")
-        if list_outage is not None:
-            self.list_faults.outage = list_outage
-        for name, value in changes.items():
-            if value is not None:
-                setattr(self.faults, name, value)
+        self.faults.update(faults)
+        if faults.part_writes_per_second is not None:
+            self.parts.per_second = faults.part_writes_per_second
+        if faults.forget_history:
+            self.rows.forget_history()
+
+    def write_as_operator(self, table: str, key: str, value: bytes | None) -> int:
+        """Write or remove a row whatever its version, also of the operator's."""
+        row_id = RowId(table, "", key)
+        if value is None:
+            return self.rows.transact({}, {}, [row_id])
+        return self.rows.transact({}, {row_id: value}, [])
 
 
 STATE = web.AppKey("state", PlatformState)
@@ -133,23 +96,21 @@
 def build_app(state: PlatformState) -> web.Application:
     """Return the application that serves `state`."""
     app = web.Application(
-        middlewares=[_answer_errors, _limit_rate], client_max_size=MAX_BODY_BYTES
+        middlewares=[_limit_rate, _show_faults], client_max_size=MAX_BODY_BYTES
     )
     app[STATE] = state
     app.add_routes(
         [
-            web.post("/v1/table/read", _read),
-            web.post("/v1/table/scan", _scan),
-            web.post("/v1/table/transact", _transact),
-            web.put("/v1/objects/{name:.+}", _put_object),
-            web.post("/v1/objects/{name:.+}", _create_object),
-            web.get("/v1/objects/{name:.+}", _get_object),
-            web.delete("/v1/objects/{name:.+}", _delete_object),
-            web.get("/v1/instances", _fetch_instances),
-            web.put("/v1/instances/{instance_id}", _announce),
+            web.post("/rows-tx", _transact),
+            web.get("/rows-get", _get_rows, allow_head=False),
+            web.get("/rows-parts", _get_parts, allow_head=False),
+            web.get("/rows-feed", _feed, allow_head=False),
+            web.put("/blob-put/{name:.+}", _put_object),
+            web.get("/blob-get/{name:.+}", _get_object, allow_head=False),
+            web.delete("/blob-drop/{name:.+}", _drop_object),
+            web.get("/blob-list", _list_objects, allow_head=False),
             web.post("/control/faults", _set_faults),
             web.get("/control/stats", _stats),
-            web.post("/control/instances/{instance_id}", _set_state),
         ]
     )
     return app
@@ -179,94 +140,222 @@
 
     async def stop(self) -> None:
         """Stop serving."""
+        self.state.closing.set()
+        for task in self.state.late:
+            task.cancel()
+        await asyncio.gather(*self.state.late, return_exceptions=True)
         await self._server.stop()
 
 
-@web.middleware
-async def _answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
-    try:
-        return await handler(request)
-    except TransactionConflictError as error:
-        return json_response(ConflictAnswer(list(error.keys)), status=409)
-    except PlatformUnavailableError:
-        # An outage or a lost answer: the connection breaks without an answer.
-        if request.transport is not None:
-            request.transport.abort()
-        return web.Response(status=503)
-    except PlatformError as error:
-        return web.Response(status=400, text=error.message)
+def _is_control(request: web.Request) -> bool:
+    return request.path.startswith("/control/")
 
 
 @web.middleware
 async def _limit_rate(request: web.Request, handler: Handler) -> web.StreamResponse:
     state = request.app[STATE]
-    if request.path.startswith("/control/"):
+    if _is_control(request):
         return await handler(request)
-    reading = request.method == "GET" or request.path in _READ_PATHS
-    limit = state.reads if reading else state.writes
+    limit = state.reads if request.method == "GET" else state.writes
     if not limit.take(time.monotonic()):
         state.counts.rate_limited += 1
-        raise web.HTTPServiceUnavailable(text="rate limit reached")
+        return web.Response(status=429, text="rate reached")
     return await handler(request)
 
 
-_READ_PATHS = frozenset({"/v1/table/read", "/v1/table/scan"})
+@web.middleware
+async def _show_faults(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Surround a call's effect with the faults in force."""
+    if _is_control(request):
+        return await handler(request)
+    state = request.app[STATE]
+    faults = state.faults
+    failure = faults.failure(request.remote or "", await _tables_of(request))
+    if failure is not None:
+        return await _fail(request, failure)
+    if request.path == "/rows-tx" and faults.is_late():
+        body = await decode_body(request, TransactionBody)
+        task = asyncio.ensure_future(_transact_late(state, body, faults.late_seconds))
+        state.late.add(task)
+        task.add_done_callback(state.late.discard)
+        return _reset(request)
+    if faults.delay_seconds:
+        await asyncio.sleep(faults.delay_seconds)
+    response = await handler(request)
+    if request.method != "GET" and response.status < 400:
+        if faults.answer_delay_seconds:
+            await asyncio.sleep(faults.answer_delay_seconds)
+        if faults.loses_answer():
+            return _reset(request)
+    return response
+
+
+async def _tables_of(request: web.Request) -> set[str]:
+    if request.path.startswith("/blob-"):
+        return {OBJECTS}
+    if request.path == "/rows-tx":
+        body = await decode_body(request, TransactionBody)
+        return {row_id.table for row_id in body.row_ids}
+    return {request.query.get("tableName", "")}
+
+
+async def _fail(request: web.Request, failure: NoAnswer) -> web.Response:
+    """Answer a call that takes no effect."""
+    match failure:
+        case NoAnswer.STATUS_503:
+            return web.Response(status=503, text="unavailable")
+        case NoAnswer.STATUS_429:
+            return web.Response(status=429, text="refused")
+        case NoAnswer.SILENT:
+            closing = request.app[STATE].closing
+            while request.transport is not None and not closing.is_set():
+                await asyncio.sleep(POLL_SECONDS)
+    return _reset(request)
+
+
+def _reset(request: web.Request) -> web.Response:
+    """Reset the connection; what is returned reaches nobody."""
+    if request.transport is not None:
+        connection = request.transport.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        request.transport.abort()
+    return web.Response(status=503)
+
+
+async def _transact_late(
+    state: PlatformState, body: TransactionBody, seconds: float
+) -> None:
+    await asyncio.sleep(seconds)
+    _apply(state, body)
+
+
+async def _transact(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    if len(await request.read()) > CALL_BYTES:
+        return web.Response(status=413, text="call too large")
+    body = await decode_body(request, TransactionBody)
+    problem = check_transaction(body, state.rows.tables, ROW_BYTES)
+    if problem:
+        return web.Response(status=400, text=problem)
+    if any(entry.tableName in OPERATOR_TABLES for entry in (*body.write, *body.remove)):
+        return web.Response(status=403, text="not the system's table")
+    seconds = state.parts.take({row_id.part for row_id in body.row_ids} or {""})
+    if seconds is None:
+        state.counts.rate_limited += 1
+        return web.Response(status=429, text="too many transactions wait")
+    if seconds:
+        await asyncio.sleep(seconds)
+    return _apply(state, body)
 
 
-async def _read(request: web.Request) -> web.Response:
-    message = await decode_body(request, ReadRequest)
-    rows_by_key = await request.app[STATE].table.read(message.keys)
-    return json_response(RowsAnswer(list(rows_by_key.values())))
+def _apply(state: PlatformState, body: TransactionBody) -> web.Response:
+    try:
+        state.rows.transact(
+            {entry.row_id: entry.rowVersion for entry in body.expectedRevision},
+            {entry.row_id: decode_value(entry.value) for entry in body.write},
+            [entry.row_id for entry in body.remove],
+        )
+    except VersionsDiffer as conflict:
+        state.counts.conflicts += 1
+        rows = [shown_row(entry) for entry in conflict.entries]
+        return _rows_answer(state, rows, status=412)
+    state.counts.transactions += 1
+    state.counts.rows_written += len(body.write) + len(body.remove)
+    answer = {"rowVersion": state.rows.version, "currentTimeMs": _now_ms()}
+    return json_response(answer)
 
 
-async def _scan(request: web.Request) -> web.Response:
-    message = await decode_body(request, ScanRequest)
-    table = request.app[STATE].table
-    rows = await table.scan(message.prefix, message.after, message.limit)
-    return json_response(RowsAnswer(rows))
+async def _get_rows(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    query = request.query
+    if "tableName" not in query or "part" not in query:
+        return web.Response(status=400, text="table or part missing")
+    page = state.rows.page(
+        query["tableName"],
+        query["part"],
+        query.get("from", ""),
+        query.get("target", ""),
+        min(int(query.get("limit", PAGE_ROWS)), PAGE_ROWS),
+        PAGE_BYTES,
+    )
+    state.counts.reads += 1
+    state.counts.rows_read += len(page.entries)
+    rows = [shown_row(entry) for entry in page.entries]
+    return _rows_answer(state, rows, hasMore=page.has_more)
 
 
-async def _transact(request: web.Request) -> web.Response:
-    message = await decode_body(request, TransactRequest)
-    versions = await request.app[STATE].table.transact(message.writes)
-    return json_response(TransactAnswer(versions))
+async def _get_parts(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    parts, more = state.rows.parts(
+        request.query["tableName"], request.query.get("startRevision"), PAGE_NAMES
+    )
+    state.counts.reads += 1
+    return json_response({"parts": parts, "hasMore": more})
 
 
-async def _put_object(request: web.Request) -> web.Response:
-    data = await request.read()
-    await request.app[STATE].objects.put(request.match_info["name"], data)
-    return web.Response(status=204)
+async def _feed(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    after = int(request.query["startRevision"])
+    wait_ms = int(request.query.get("waitMs", 0))
+    if not 0 <= wait_ms <= MAX_WAIT_MS:
+        return web.Response(status=400, text="wait out of range")
+    try:
+        changes = await state.rows.wait_changes(
+            request.query["tableName"], after, wait_ms / 1000, state.closing
+        )
+    except HistoryGone:
+        return web.Response(status=410, text="history no longer available")
+    state.counts.feeds += 1
+    shown, version = changes, state.rows.version
+    if len(changes) > PAGE_ROWS:
+        # A transaction is shown whole: the next call resumes after its version.
+        version = changes[PAGE_ROWS - 1].version
+        shown = [change for change in changes if change.version <= version]
+    state.counts.rows_fed += len(shown)
+    rows = [changed_row(change) for change in shown]
+    return _rows_answer(state, rows, rowVersion=version)
 
 
-async def _create_object(request: web.Request) -> web.Response:
-    name = request.match_info["name"]
-    data = await request.read()
-    created = await request.app[STATE].objects.put(name, data, if_absent=True)
-    return web.Response(status=201 if created else 409)
+async def _put_object(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    name, data = request.match_info["name"], await request.read()
+    if len(data) > OBJECT_BYTES:
+        return web.Response(status=413, text="object too large")
+    only_new = request.headers.get("If-None-Match") == "*"
+    if only_new and name in state.objects.data_by_name:
+        return web.Response(status=412, text="exists")
+    try:
+        state.objects.put(name, data)
+    except ShelfFull:
+        return web.Response(status=507, text="no room")
+    state.counts.object_puts += 1
+    return web.Response(status=200)
 
 
 async def _get_object(request: web.Request) -> web.Response:
-    data = await request.app[STATE].objects.get(request.match_info["name"])
+    state = request.app[STATE]
+    state.counts.object_gets += 1
+    data = state.objects.data_by_name.get(request.match_info["name"])
     if data is None:
-        raise web.HTTPNotFound
+        return web.Response(status=404, text="no such object")
     return web.Response(body=data)
 
 
-async def _delete_object(request: web.Request) -> web.Response:
-    await request.app[STATE].objects.delete(request.match_info["name"])
-    return web.Response(status=204)
-
-
-async def _fetch_instances(request: web.Request) -> web.Response:
-    return json_response(InstancesAnswer(await request.app[STATE].instances.fetch()))
+async def _drop_object(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    state.counts.object_deletes += 1
+    found = state.objects.data_by_name.pop(request.match_info["name"], None)
+    return web.Response(status=404 if found is None else 200)
 
 
-async def _announce(request: web.Request) -> web.Response:
-    instance = await decode_body(request, Instance)
-    if instance.instance_id != request.match_info["instance_id"]:
-        raise web.HTTPBadRequest(text="instance id differs from the path")
-    await request.app[STATE].instances.announce(instance)
-    return web.Response(status=204)
+async def _list_objects(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    names, more = state.objects.names(
+        request.query.get("prefix", ""), request.query.get("startRevision"), PAGE_NAMES
+    )
+    state.counts.object_lists += 1
+    return json_response({"names": names, "hasMore": more})
 
 
 async def _set_faults(request: web.Request) -> web.Response:
@@ -278,9 +367,15 @@
     return json_response(request.app[STATE].counts)
 
 
-async def _set_state(request: web.Request) -> web.Response:
-    change = await decode_body(request, StateChange)
-    instance_id = InstanceId(request.match_info["instance_id"])
-    if not request.app[STATE].instances.set_state(instance_id, change.state):
-        raise web.HTTPNotFound(text="no such instance")
-    return web.Response(status=204)
+def _rows_answer(
+    state: PlatformState,
+    rows: list[dict[str, object]],
+    status: int = 200,
+    **fields: object,
+) -> web.Response:
+    answer = {"rowVersion": state.rows.version, "currentTimeMs": _now_ms()} | fields
+    return json_response({"rows": rows} | answer, status=status)
+
+
+def _now_ms() -> int:
+    return int(time.monotonic() * 1000)
--- a/bluebellshore/store/__init__.py
+++ b/bluebellshore/store/__init__.py
@@ -1,6 +1,6 @@
 """The platform's services as the fleet sees them."""
 
-from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store.instances import TableInstances
 from bluebellshore.store.interface import (
     ABSENT,
     FeedingTable,
@@ -26,7 +26,6 @@
 __all__ = [
     "ABSENT",
     "FeedingTable",
-    "HttpPlatform",
     "Instance",
     "InstanceList",
     "InstanceRole",
@@ -39,6 +38,7 @@
     "OperationCounts",
     "Row",
     "TableChange",
+    "TableInstances",
     "TableService",
     "TableSnapshot",
     "Write",
--- a/tests/system.py
+++ b/tests/system.py
@@ -42,6 +42,7 @@
 from bluebellshore.load.results import Call, CallKind, CallResult
 from bluebellshore.standin.engine import expected_text
 from bluebellshore.standin.generation import ChatRequest, Message
+from bluebellshore.store import InstanceState, TableInstances
 
 CHAT = "chat"
 ORDERS = "orders"
@@ -53,7 +54,6 @@
 AMPLE_TOKENS = 10_000_000
 #: Timings that let failures be noticed soon.
 FAST = {"heartbeat_seconds": 0.1, "silent_seconds": 0.8, "announce_seconds": 0.3}
-FAST_PLATFORM = {"list_lag_seconds": 0.2, "expiry_seconds": 1.5}
 FAST_ROUTER = FAST | {
     "list_poll_seconds": 0.2,
     "bundle_poll_seconds": 0.3,
@@ -197,6 +197,13 @@
             ) as response:
                 yield response
 
+    async def mark_leaving(self, process: ManagedProcess) -> None:
+        """Mark an instance as leaving; its process is not told."""
+        async with self.fleet.platform() as platform:
+            instances = TableInstances(platform)
+            if not await instances.set_state(process.name, InstanceState.LEAVING):
+                raise AssertionError(f"{process.name} is not in the list")
+
     async def link_faults(self, **faults: Any) -> None:
         """Set the faults of all links."""
         proxies = self.fleet.proxies_by_name.values()
@@ -304,7 +311,7 @@
     :param engine: settings of each engine; likewise for the other kinds.
     """
     async with open_fleet() as fleet:
-        started = await fleet.start_platform(**FAST_PLATFORM | (platform or {}))
+        started = await fleet.start_platform(**(platform or {}))
         system = System(fleet, started)
         await fleet.submit_bundle(bundle or small_bundle())
         backends = [
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,7 +7,6 @@
 import tempfile
 import unittest
 
-import aiohttp
 from aiohttp import web
 
 from bluebellshore.bundle import BundleKeeper, Verifier, sign_bundle
@@ -15,7 +14,8 @@
 from bluebellshore.bundle.model import Move, Version
 from bluebellshore.load.fleet import open_fleet
 from bluebellshore.moves.rows import MoveRow, MoveState, encode_row
-from bluebellshore.store import HttpPlatform, Instance, InstanceRole, Write
+from bluebellshore.platform.store import open_store
+from bluebellshore.store import Instance, InstanceRole, TableInstances, Write
 from tests.test_bundle_keeper import make_bundle
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -78,7 +78,7 @@
     async def test_platform_out_gives_code_4(self):
         code, _, errors = await command("move", "status", PLATFORM_URL="http://[::1]:9")
         self.assertEqual(code, 4)
-        self.assertRegex(errors, r"^table.read \(http://\[::1\]:9\): ")
+        self.assertRegex(errors, r"^store.read \(http://\[::1\]:9\): ")
 
     async def test_missing_and_faulty_files(self):
         code, _, errors = await command("bundle", "check", "no-such-file")
@@ -88,11 +88,9 @@
 class OperatorTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         fleet = await self.enterAsyncContext(open_fleet())
-        platform = await fleet.start_platform(
-            list_lag_seconds=0.0, expiry_seconds=600.0
-        )
-        session = await self.enterAsyncContext(aiohttp.ClientSession())
-        self.platform = HttpPlatform(f"http://{platform.address}", session)
+        platform = await fleet.start_platform()
+        self.platform = await self.enterAsyncContext(open_store(platform.address))
+        self.instances = TableInstances(self.platform, valid_seconds=600.0)
         self.directory = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
         code, output, _ = await command("bundle", "keygen", self.path("key"), "--json")
         self.assertEqual(code, 0)
@@ -119,7 +117,7 @@
             ("router-1", InstanceRole.ROUTER, f"{host}:{port}"),
             ("sidecar-1", InstanceRole.SIDECAR, "127.0.0.1:9"),
         ):
-            await self.platform.announce(Instance(name, role, "north", address))
+            await self.instances.announce(Instance(name, role, "north", address))
 
     async def submit(self, bundle) -> tuple[int, str, str]:
         (self.directory / "b.yaml").write_text(bundle_to_yaml(bundle))
@@ -177,7 +175,7 @@
         self.assertRegex(errors, r"^warning: bundle.offer .*status 401")
 
     async def test_state_dump(self):
-        instances = await self.platform.fetch()
+        instances = await self.instances.fetch()
         address = instances[0].address
         words = ("state", "dump", address)
         code, output, _ = await command(*words, OPERATOR_TOKEN=TOKEN)
--- a/tests/test_failures_bundles.py
+++ b/tests/test_failures_bundles.py
@@ -10,6 +10,7 @@
 from bluebellshore.bundle.store import BundleStore
 from bluebellshore.errors import BundleConflictError, BundleError
 from bluebellshore.load.results import Call, CallKind, CallOutcome
+from bluebellshore.store.instances import INSTANCE_TABLE
 from tests.system import CHAT, open_system, small_bundle
 
 
@@ -41,7 +42,9 @@
             topped = small_bundle(2, budgets={"acme": 20_000_000})
             await system.fleet.submit_bundle(topped)
             await system.wait_ready(2)
-            await system.set_faults(system.platform, outage=True)
+            await system.set_faults(
+                system.platform, outage=True, spared_tables=[INSTANCE_TABLE]
+            )
             router = await system.fleet.replace(system.routers[1].name, graceful=False)
             system.routers[1] = router
             await system.wait_ready(2)
--- a/tests/test_failures_pairs.py
+++ b/tests/test_failures_pairs.py
@@ -334,9 +334,7 @@
             counts = [shown["received"] for shown in await self.stats(system)]
             number = counts.index(min(counts))
             leaving = system.sidecar_of(system.engines[number])
-            url = f"{system.fleet.platform_url}/control/instances/{leaving.name}"
-            async with system.fleet.session.post(url, json={"state": "leaving"}):
-                pass
+            await system.mark_leaving(leaving)
 
             async def seen() -> bool:
                 states = [await system.state(router) for router in system.routers]
--- a/tests/test_failures_stops.py
+++ b/tests/test_failures_stops.py
@@ -119,9 +119,9 @@
 
 class LeavingTest(unittest.IsolatedAsyncioTestCase):
     async def test_leaving_backend_server_gets_no_new_work(self):
-        """The platform marks it; its sidecar is not told and the list lags."""
+        """It is marked; its sidecar is not told and routers read the list late."""
         async with open_system(
-            services=0, engine=SLOW_TOKENS, platform={"list_lag_seconds": 1.0}
+            services=0, engine=SLOW_TOKENS, router={"list_poll_seconds": 1.0}
         ) as system:
             caller = system.caller()
             running = [
@@ -130,11 +130,7 @@
             ]
             await asyncio.sleep(0.3)
             leaving = system.sidecar_of(system.engines[0])
-            url = f"{system.fleet.platform_url}/control/instances/{leaving.name}"
-            async with system.fleet.session.post(
-                url, json={"state": "leaving"}
-            ) as response:
-                self.assertLess(response.status, 300)
+            await system.mark_leaving(leaving)
             await wait_until(lambda: self.seen(system, leaving), "leaving instance")
             stats = await system.control(system.engines[0], "/control/stats")
             after = await asyncio.gather(
