Show that the new guards of transactions, cache and client are needed

Seven mutants remove them; the first run let one live: no test closed a router with more budgets than a transaction holds and nothing left to bill. That test is new; all seven are killed now.

Run: tests.mutants for the seven, test_mutants, test_budget_limits: pass.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -143,6 +143,7 @@
 
 
 _ACCOUNTANT = "tests.test_budget_accountant.SettlementTest"
+_LIMITS = "tests.test_budget_limits.ManyBudgetsTest"
 _RECLAIM = "tests.test_budget_reclaim.ReclaimTest"
 _PAIRS = "tests.test_failures_pairs.PairsTest"
 _SIDECAR = "tests.test_sidecar_guards.SidecarGuardsTest"
@@ -609,6 +610,67 @@
         "await self._table.transact(writes)",
         "tests.test_duties.LeaseTest.test_paused_holder_cannot_write",
     ),
+    Mutant(
+        "row-closed-with-budgets-left",
+        "budgets beyond the room of the last transaction",
+        "bluebellshore/budget/composer.py",
+        "            not transaction.partial\n            and not ",
+        "            not ",
+        f"{_LIMITS}.test_idle_router_closes_only_when_all_budgets_have_their_tokens",
+    ),
+    Mutant(
+        "sidecar-struck-with-budgets-left",
+        "sidecar kept in a dead router's row until all budgets are dealt with",
+        "bluebellshore/budget/recovery.py",
+        "            struck, value.sidecars = False, listed\n",
+        "            pass\n",
+        f"{_LIMITS}.test_dead_router_is_reclaimed_in_several_transactions",
+    ),
+    Mutant(
+        "unanswered-row-kept",
+        "remembered rows of a write without an answer",
+        "bluebellshore/store/cache.py",
+        "                self.forget(write.key for write in writes)\n"
+        "                eliot.log_message(",
+        "                eliot.log_message(",
+        "tests.test_store_cache.UnansweredTest"
+        ".test_write_whose_answer_is_lost_is_read_again",
+    ),
+    Mutant(
+        "conflict-not-remembered",
+        "present rows of a conflict",
+        "bluebellshore/store/cache.py",
+        "                self._learn_conflict(conflict, writes, touched)\n",
+        "",
+        "tests.test_store_cache.ConflictTest"
+        ".test_conflict_brings_all_rows_so_that_a_retry_makes_progress",
+    ),
+    Mutant(
+        "causeless-conflict-believed",
+        "check of what a conflict shows",
+        "bluebellshore/platform/store.py",
+        "        if not differing:\n",
+        "        if False:\n",
+        "tests.test_platform_store.AnswerTest"
+        ".test_transaction_is_certain_only_of_what_the_answer_shows",
+    ),
+    Mutant(
+        "object-created-again",
+        "creation of an object sent once",
+        "bluebellshore/platform/store_calls.py",
+        "        self._session._retry_connection = False\n",
+        "",
+        "tests.test_standin_platform.ObjectTest"
+        ".test_creator_of_an_object_whose_answer_is_lost_is_not_told_it_existed",
+    ),
+    Mutant(
+        "outage-ages-the-list",
+        "time without a view of the list",
+        "bluebellshore/store/instances.py",
+        "                seen.at += now - self._looked_at\n",
+        "                pass\n",
+        "tests.test_store_instances.TableInstancesTest.test_outage_ages_no_entry",
+    ),
 )
 
 
--- a/tests/test_budget_limits.py
+++ b/tests/test_budget_limits.py
@@ -78,6 +78,18 @@
         closed = self.row("incarnation/r1", IncarnationRow)
         self.assertIs(closed.state, IncarnationState.CLOSED)
 
+    async def test_idle_router_closes_only_when_all_budgets_have_their_tokens(self):
+        async with self.router() as accountant:
+            await self.reserve_all(accountant)
+            for number in range(len(BUDGETS)):
+                accountant.settle(keyed_receipt(number))
+            await self.until(lambda: len(self.settled) == len(BUDGETS))
+            held = [row for row in self.budgets().values() if row.allotments]
+            self.assertGreater(len(held), MAX_TRANSACTION_WRITES)
+        self.check_all_settled()
+        closed = self.row("incarnation/r1", IncarnationRow)
+        self.assertIs(closed.state, IncarnationState.CLOSED)
+
     async def test_dead_router_is_reclaimed_in_several_transactions(self):
         async with self.router(close=False) as accountant:
             await self.reserve_all(accountant)
