Say where the instance list lies

Ruled out: other pages, which name the list only. Not measured: text only; make lint, test_settings and test_cli pass.

--- a/bluebellshore/membership.py
+++ b/bluebellshore/membership.py
@@ -1,4 +1,4 @@
-"""Keeps this process's entry in the platform's instance list."""
+"""Keeps this process's entry in the instance list."""
 
 import asyncio
 from collections.abc import Callable
