--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -20,13 +20,19 @@
 )
 from bluebellshore.errors import TransactionConflictError
 from bluebellshore.ids import BudgetId, Epoch, IncarnationId, InstanceId, Tokens
-from bluebellshore.store.interface import Row, StoreTime, TableService, Write
+from bluebellshore.store.interface import (
+    MAX_TRANSACTION_WRITES,
+    Row,
+    StoreTime,
+    TableService,
+    Write,
+)
 
 __all__ = ["Predecessors", "Recovered"]
 
 PAGE_ROWS = 500
-#: Budgets settled in one transaction at most; the platform takes 100 rows.
-BATCH_BUDGETS = 80
+#: Budgets settled in one transaction at most, beside the incarnation's row.
+BATCH_BUDGETS = MAX_TRANSACTION_WRITES - 1
 #: Longest pauses after a first and after many conflicts.
 PAUSE_SECONDS = 0.02
 MAX_PAUSE_SECONDS = 0.3
