Settle many summed bills in one transaction of a router without a ledger

Only bills with ledger rows and markers need writes of their own; sums need one row for each budget. Bills of one batch name no more budgets than a transaction has rows, with a test (120 customers).

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -11,7 +11,6 @@
 
 from bluebellshore.budget.book import AllotmentBook
 from bluebellshore.budget.composer import (
-    BATCH_BILLS,
     Cover,
     Request,
     Transaction,
@@ -453,7 +452,7 @@
             self.on_platform(False)
 
     def _more_than_a_batch(self) -> bool:
-        return len(self.book.unsettled_by_attempt) >= BATCH_BILLS
+        return len(self.book.unsettled_by_attempt) >= self._journal.batch_bills
 
     async def _pause(self) -> None:
         limit = min(MAX_BACKOFF_SECONDS, BACKOFF_SECONDS * 2 ** min(self._failures, 10))
--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -37,6 +37,8 @@
 #: Bills of one transaction. Each may write a marker and a budget's row, which with
 #: the incarnation's row and the ledger's must fit into one transaction.
 BATCH_BILLS = 20
+#: The same where only their sums are written.
+BATCH_SUMMED_BILLS = 500
 #: The incarnation's row and the ledger's.
 OWN_WRITES = 2
 
@@ -137,6 +139,7 @@
         self._policy = policy
         self._prepaid = prepaid
         self._keeps_ledger = keeps_ledger
+        self.batch_bills = BATCH_BILLS if keeps_ledger else BATCH_SUMMED_BILLS
         self._wants: dict[tuple[BudgetId, IncarnationId], _Want] = {}
         self._sequence = 0
 
@@ -151,9 +154,13 @@
 
     def _batch(self) -> list[Bill]:
         bills_by_key: dict[str, Bill] = {}
+        budgets: set[BudgetId] = set()
         for bill in self._book.unsettled_by_attempt.values():
             bills_by_key.setdefault(bill.key, bill)
-            if len(bills_by_key) == BATCH_BILLS:
+            budgets.add(bill.budget)
+            # Each budget has its row in the same transaction.
+            full = len(budgets) == MAX_TRANSACTION_WRITES - OWN_WRITES
+            if full or len(bills_by_key) == self.batch_bills:
                 break
         return list(bills_by_key.values())
 
@@ -180,7 +187,9 @@
         if request.settle or request.closing:
             wanted = set(budgets)
             transaction.bills = [b for b in self._batch() if b.budget in wanted]
-        room = MAX_TRANSACTION_WRITES - OWN_WRITES - len(transaction.bills)
+        room = MAX_TRANSACTION_WRITES - OWN_WRITES
+        if self._keeps_ledger:
+            room -= len(transaction.bills)
         for budget in _by_urgency(budgets, transaction, request):
             if len(transaction.writes) == room:
                 transaction.partial = True
--- a/bluebellshore/budget/journal.py
+++ b/bluebellshore/budget/journal.py
@@ -78,6 +78,11 @@
         """What each budget could cover at most, as last seen."""
         return self._composer.covers_by_budget
 
+    @property
+    def batch_bills(self) -> int:
+        """Bills that one transaction settles at most."""
+        return self._composer.batch_bills
+
     @property
     def unresolved(self) -> int:
         """Number of transactions whose answer is open."""
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -341,6 +341,23 @@
         self.assertLess(waited, 0.02)  # of virtual time: a read and a write
         await router.close()
 
+    @in_virtual_time
+    async def test_settles_bills_of_more_budgets_than_a_transaction_takes(self):
+        customers = [f"c{number:03d}" for number in range(120)]
+        world = World(dict.fromkeys(customers, 1_000))
+        await world.start("r1")
+        await asyncio.sleep(3)
+        world.clients["r1"].out = True
+        for customer in customers:
+            for _ in range(3):
+                self.assertIsNone(await world.request("r1", customer, 40, 20, 0.0))
+        world.clients["r1"].out = False
+        await asyncio.sleep(4)
+        for customer in customers:
+            row = world.table.rows_by_key[f"budget/{customer}"]
+            self.assertEqual(decode_row(row, BudgetRow).settled, 60, customer)
+        await world.stop()
+
     @in_virtual_time
     async def test_rides_out_an_outage_that_begins_a_second_after_the_start(self):
         world = World({"acme": 100_000})
