--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -108,7 +108,7 @@
         self.speeds = SpeedBook()
         self._suspicion = suspicion
         if suspicion is not None:
-            suspicion.slowness = self.speeds.slowness
+            suspicion.slow_servers = self.speeds.slow_servers
         self._services_by_name: dict[ServiceName, Service] = {}
         self._service_by_server: dict[BackendServerId, ServiceName] = {}
         self._numbers = itertools.count(1)
--- a/bluebellshore/routing/speed.py
+++ b/bluebellshore/routing/speed.py
@@ -7,6 +7,7 @@
 
 import statistics
 from collections import deque
+from collections.abc import Mapping
 
 import msgspec
 
@@ -135,11 +136,17 @@
         self, service: ServiceName, server_id: BackendServerId, now: float
     ) -> float:
         """Return how many times slower a server is than its peers, at least 1."""
+        return self.slow_servers(service, now).get(server_id, 1.0)
+
+    def slow_servers(
+        self, service: ServiceName, now: float
+    ) -> Mapping[BackendServerId, float]:
+        """Return the slowness of the servers that are slower than their peers."""
         compared_at, slowness_by_server = self._slowness.get(service, (-1.0, {}))
         if now - compared_at > COMPARE_SECONDS or compared_at < 0:
             slowness_by_server = self._compare(service, now)
             self._slowness[service] = (now, slowness_by_server)
-        return slowness_by_server.get(server_id, 1.0)
+        return slowness_by_server
 
     def forget(self, server_id: BackendServerId) -> None:
         """Drop what was learned of a server that is gone or began anew."""
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -94,14 +94,14 @@
 
     Every method takes `now` in monotonic seconds.
 
-    :ivar slowness: returns how many times slower a server of a service is than its
-        peers; a :class:`bluebellshore.routing.load.LoadBook` sets it.
+    :ivar slow_servers: returns how many times slower servers of a service are than
+        their peers; a :class:`bluebellshore.routing.load.LoadBook` sets it.
     """
 
     def __init__(self) -> None:
-        self.slowness: Callable[[ServiceName, BackendServerId, float], float] = (
-            lambda service, server_id, now: 1.0
-        )
+        self.slow_servers: Callable[
+            [ServiceName, float], Mapping[BackendServerId, float]
+        ] = lambda service, now: {}
         self._watches: dict[BackendServerId, _Watch] = {}
         self._pending: dict[_Ticket, _Pending] = {}
         self._due: list[tuple[float, _Ticket]] = []
@@ -117,7 +117,15 @@
         come back first.
         """
         self._count_overdue(now)
-        suspects = [s for s in servers if self._is_suspect(s, servers, now)]
+        slow = self.slow_servers(servers[0].service, now) if servers else {}
+        suspects = [
+            s
+            for s in servers
+            if slow.get(s.server_id, 1.0) > SLOW_LIMIT
+            or (s.server_id in self._watches and self._is_suspect(s, servers, now))
+        ]
+        if not suspects:
+            return list(servers)
         room = int(len(servers) * MOST_LEFT_OUT)
         if len(suspects) > room:
             suspects.sort(key=lambda s: self._watch(s.server_id).until, reverse=True)
@@ -276,11 +284,7 @@
     def _is_suspect(
         self, server: BackendServer, servers: Sequence[BackendServer], now: float
     ) -> bool:
-        if self.slowness(server.service, server.server_id, now) > SLOW_LIMIT:
-            return True
-        watch = self._watches.get(server.server_id)
-        if watch is None:
-            return False
+        watch = self._watches[server.server_id]
         if not watch.out and self._has_failed(watch, server, servers, now):
             watch.out = True
             watch.until = now + watch.pause
--- a/tests/test_routing_suspicion.py
+++ b/tests/test_routing_suspicion.py
@@ -115,11 +115,11 @@
         self.assertEqual(self.usable(), [0, 1, 2, 3])
 
     def test_much_slower_servers_are_left_out(self):
-        self.suspicion.slowness = lambda service, server, now: (
-            4.0 if server == "engines-2" else 1.0
-        )
+        self.suspicion.slow_servers = lambda service, now: {"engines-2": 4.0}
         self.assertEqual(self.usable(), [0, 1, 3])
-        self.suspicion.slowness = lambda service, server, now: 4.0
+        self.suspicion.slow_servers = lambda service, now: {
+            server.server_id: 4.0 for server in self.servers
+        }
         self.assertEqual(len(self.usable()), 2)
 
     def test_counts_fade(self):
