Learn no speed from attempts that hung

Cause: when silent engines went on, the first events of what had hung there for seconds made them look 3 to 5 times slower than their peers for 4 s more.

Conclusion: attempts above 6 times the expected time and 1 s teach nothing.

--- a/bluebellshore/routing/speed.py
+++ b/bluebellshore/routing/speed.py
@@ -35,6 +35,10 @@
 RATIOS = 9
 LEAST_RATIOS = 3
 RATIO_SECONDS = 4.0
+#: Observed against expected time, and least time, above which an attempt hung: that
+#: says nothing of the speed; :mod:`bluebellshore.routing.suspicion` counts it.
+HUNG_RATIO = 6.0
+HUNG_LEAST_SECONDS = 1.0
 #: Servers are compared at most this often, in seconds.
 COMPARE_SECONDS = 0.2
 #: Observed against expected time of most servers above which none is called slow: all
@@ -112,6 +116,8 @@
         expected = self.seconds(
             sample.service, sample.read_tokens + sample.ahead_tokens
         )
+        if sample.seconds > max(HUNG_LEAST_SECONDS, HUNG_RATIO * expected):
+            return
         if expected > 0:
             by_server = self._ratios.setdefault(sample.service, {})
             ratios = by_server.setdefault(sample.server_id, deque(maxlen=RATIOS))
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -145,6 +145,15 @@
         self.assertEqual(self.speeds.slowness("engines", "s1", 1.0), 1.0)
         self.assertEqual(self.speeds.slowness("engines", "s0", 60.0), 1.0)
 
+    def test_attempts_that_hung_make_no_server_slow(self):
+        for i in range(80):
+            tokens = 200 + (i * 791) % 8000
+            self.note(f"s{i % 8}", tokens, 0.03 + tokens / 50_000)
+        for _ in range(9):
+            self.note("s0", 1000, 6.0, now=1.0)
+        self.assertEqual(self.speeds.slowness("engines", "s0", 1.5), 1.0)
+        self.assertLess(self.speeds.seconds("engines", 1000), 0.1)
+
     def test_none_is_slow_while_all_are_crowded(self):
         for i in range(80):
             tokens = 200 + (i * 791) % 8000
