--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -7,14 +7,13 @@
 
 import itertools
 from collections.abc import Iterable
-from typing import NewType
 
 import msgspec
 
 from bluebellshore.fleet import BackendServer, Call, Service
 from bluebellshore.ids import BackendServerId, IncarnationId, PartId, ServiceName
 from bluebellshore.routing.parts import HeldParts, UsedParts
-from bluebellshore.routing.results import Result, ResultCounts
+from bluebellshore.routing.results import Result, ResultCounts, Ticket
 from bluebellshore.routing.speed import FirstEventSample, SpeedBook
 from bluebellshore.routing.suspicion import Suspicion
 
@@ -27,8 +26,6 @@
     "Ticket",
 ]
 
-#: Number of an attempt in a :class:`LoadBook`.
-Ticket = NewType("Ticket", int)
 #: A peer's report is dropped after this long without a newer one. Peers report
 #: several times a second.
 REPORT_SECONDS = 2.0
--- a/bluebellshore/routing/results.py
+++ b/bluebellshore/routing/results.py
@@ -1,10 +1,14 @@
-"""How attempts end, and counts of it that routers exchange."""
+"""Names of attempts, how they end, and counts of it that routers exchange."""
 
 from enum import Enum
+from typing import NewType
 
 import msgspec
 
-__all__ = ["Result", "ResultCounts"]
+__all__ = ["Result", "ResultCounts", "Ticket"]
+
+#: Number of an attempt in a :class:`bluebellshore.routing.load.LoadBook`.
+Ticket = NewType("Ticket", int)
 
 
 class Result(Enum):
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -7,19 +7,15 @@
 
 import heapq
 from collections.abc import Callable, Mapping, Sequence
-from typing import NewType
 
 import msgspec
 
 from bluebellshore.fleet import BackendServer
 from bluebellshore.ids import BackendServerId, ServiceName
-from bluebellshore.routing.results import Result, ResultCounts
+from bluebellshore.routing.results import Result, ResultCounts, Ticket
 
 __all__ = ["Suspicion"]
 
-#: Same type as a ticket of :class:`bluebellshore.routing.load.LoadBook`.
-_Ticket = NewType("_Ticket", int)
-
 #: Time in which counts of results halve, in seconds.
 HALF_LIFE_SECONDS = 2.0
 #: Share of a service that may be left out at once.
@@ -103,8 +99,8 @@
             [ServiceName, float], Mapping[BackendServerId, float]
         ] = lambda service, now: {}
         self._watches: dict[BackendServerId, _Watch] = {}
-        self._pending: dict[_Ticket, _Pending] = {}
-        self._due: list[tuple[float, _Ticket]] = []
+        self._pending: dict[Ticket, _Pending] = {}
+        self._due: list[tuple[float, Ticket]] = []
         self._new: dict[BackendServerId, ResultCounts] = {}
         self._sees_progress = False
 
@@ -139,7 +135,7 @@
 
     def begin(
         self,
-        ticket: _Ticket,
+        ticket: Ticket,
         server_id: BackendServerId,
         expected_seconds: float,
         now: float,
@@ -154,7 +150,7 @@
             watch.probed_at = now
             watch.probing.add(ticket)
 
-    def event(self, ticket: _Ticket, now: float) -> None:
+    def event(self, ticket: Ticket, now: float) -> None:
         """Note an event of an attempt.
 
         Only a further event shows that the server lives: the end of an attempt that
@@ -176,7 +172,7 @@
                 self._note_life(watch, pending, ticket, now)
 
     def _note_life(
-        self, watch: _Watch, pending: _Pending, ticket: _Ticket, now: float
+        self, watch: _Watch, pending: _Pending, ticket: Ticket, now: float
     ) -> None:
         """Take an event of a server that is left out as a probe's answer.
 
@@ -189,7 +185,7 @@
             watch.until = min(watch.until, now)
             watch.pause = FIRST_PAUSE_SECONDS
 
-    def forget(self, ticket: _Ticket) -> None:
+    def forget(self, ticket: Ticket) -> None:
         """Stop watching an attempt; its result is recorded apart."""
         pending = self._pending.pop(ticket, None)
         if pending is not None:
