Log what entry routers believe and their life through the decision log

Cause: the entry package wrote its beliefs with eliot.log_message under names of its own, which explain does not read and no limit bounds. Ruled out: a global log, as tests could not tell two routers apart; it is a constructor argument, and silent_log() is the twin that writes nothing. A peer now counts as lost in the log when it stops counting as alive, not after two failed calls. Events without a belief are notices.

--- a/bluebellshore/cli/serving.py
+++ b/bluebellshore/cli/serving.py
@@ -102,7 +102,7 @@
 
     def run(self) -> None:
         """Serve until SIGTERM."""
-        run_role(_load_role("bluebellshore.entry.router:EntryRouter")())
+        importlib.import_module("bluebellshore.entry.router").serve()
 
 
 @cappa.command(name="standin", help="Run a stand-in for tests.")
--- a/bluebellshore/decisions/__init__.py
+++ b/bluebellshore/decisions/__init__.py
@@ -10,7 +10,7 @@
     Outcome,
     Verdict,
 )
-from bluebellshore.decisions.log import DecisionLog, open_decision_log
+from bluebellshore.decisions.log import DecisionLog, open_decision_log, silent_log
 from bluebellshore.decisions.volume import VolumeLimits
 from bluebellshore.decisions.writer import LineWriter
 
@@ -27,4 +27,5 @@
     "Verdict",
     "VolumeLimits",
     "open_decision_log",
+    "silent_log",
 ]
--- a/bluebellshore/decisions/changes.py
+++ b/bluebellshore/decisions/changes.py
@@ -19,7 +19,7 @@
 
     def configuration(
         self,
-        number: int,
+        number: int | None,
         *,
         in_force: bool,
         source: str,
@@ -30,6 +30,7 @@
     ) -> None:
         """Log that a configuration came into force or was turned down.
 
+        :param number: None when it can't be read.
         :param source: ``"store"`` or the peer that told of it.
         """
         self.write(
@@ -188,6 +189,14 @@
             grave=True,
         )
 
+    def notice(self, subject: str, reason: str, **inputs: object) -> None:
+        """Log what an operator should know and no other method says.
+
+        :param subject: what it is about; a word of a fixed set.
+        """
+        fields = {"subject": subject, "reason": reason, "inputs": inputs or None}
+        self.write(Kind.NOTICE, fields, grave=True)
+
     def started(self, role: str, **fields: object) -> None:
         """Log that the process serves, with its addresses and settings."""
         self.write(
--- a/bluebellshore/decisions/kinds.py
+++ b/bluebellshore/decisions/kinds.py
@@ -34,6 +34,7 @@
     STORE = "store"
     ALLOTMENT = "allotment"
     ROLLOUT = "rollout"
+    NOTICE = "notice"
     STARTED = "started"
     RELOADED = "reloaded"
     STOPPING = "stopping"
--- a/bluebellshore/decisions/log.py
+++ b/bluebellshore/decisions/log.py
@@ -12,7 +12,7 @@
 from bluebellshore.decisions.volume import VolumeLimits
 from bluebellshore.decisions.writer import LineWriter
 
-__all__ = ["DecisionLog", "open_decision_log"]
+__all__ = ["DecisionLog", "open_decision_log", "silent_log"]
 
 
 class DecisionLog(RequestLines, ChangeLines):
@@ -29,6 +29,11 @@
         return 0 if self.writer is None else self.writer.dropped
 
 
+def silent_log() -> DecisionLog:
+    """Return a log that writes nothing."""
+    return DecisionLog(lambda line: None, level=LogLevel.BELIEFS)
+
+
 @contextlib.contextmanager
 def open_decision_log(
     instance: str,
--- a/bluebellshore/entry/__main__.py
+++ b/bluebellshore/entry/__main__.py
@@ -6,9 +6,8 @@
 
 import sys
 
-from bluebellshore.entry.router import EntryRouter
+from bluebellshore.entry.router import serve
 from bluebellshore.errors import SettingsError
-from bluebellshore.runtime import run_role
 
 __all__ = ["main"]
 
@@ -18,12 +17,11 @@
 def main() -> int:
     """Serve until SIGTERM. :return: exit code."""
     try:
-        role = EntryRouter()
+        serve()
     except SettingsError as error:
         for problem in error.problems:
             print(f"{error.step}: {problem}", file=sys.stderr)
         return USAGE_EXIT_CODE
-    run_role(role)
     return 0
 
 
--- a/bluebellshore/entry/knowledge.py
+++ b/bluebellshore/entry/knowledge.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-import eliot
 import msgspec
 
+from bluebellshore.decisions import Belief, DecisionLog, silent_log
 from bluebellshore.errors import PlatformError
 from bluebellshore.fleet import BackendServer, Configuration, RolloutOrder, ServerState
 from bluebellshore.ids import BackendServerId, ServiceName
@@ -51,7 +51,8 @@
     :ivar configuration: None until one is known.
     """
 
-    def __init__(self, lapse_seconds: float):
+    def __init__(self, lapse_seconds: float, log: DecisionLog | None = None):
+        self._log = log or silent_log()
         self._lapse_seconds = lapse_seconds
         self._tables: dict[str, _Table] = {name: _Table() for name in TABLES}
         self._lapsed_until: dict[BackendServerId, float] = {}
@@ -87,8 +88,11 @@
         row = self._tables[SERVERS_TABLE].rows_by_key.get(_key_of(server_id))
         if row is not None:
             self._doubted_versions[server_id] = row.version
-            eliot.log_message(
-                "backend_server_replaced", server=server_id, row_version=row.version
+            self._log.backend_server(
+                server_id,
+                Belief.SUSPECTED,
+                reason="its address belongs to another backend server",
+                row_version=row.version,
             )
 
     def _is_doubted(self, server_id: BackendServerId) -> bool:
@@ -98,6 +102,12 @@
         row = self._tables[SERVERS_TABLE].rows_by_key.get(_key_of(server_id))
         if row is not None and row.version > version:
             del self._doubted_versions[server_id]
+            self._log.backend_server(
+                server_id,
+                Belief.TRUSTED,
+                reason="it renewed its entry",
+                row_version=row.version,
+            )
             return False
         return True
 
@@ -117,11 +127,18 @@
         self.apply(name, change, now, after_outage=after_outage)
 
     def apply(
-        self, name: str, change: TableChange, now: float, *, after_outage: bool = False
+        self,
+        name: str,
+        change: TableChange,
+        now: float,
+        *,
+        after_outage: bool = False,
+        source: str = "store",
     ) -> None:
         """Take in changes of a table.
 
         :param after_outage: entries of backend servers may have lapsed unseen.
+        :param source: ``"store"`` or the peer that told of them.
         """
         table = self._tables[name]
         for key, version in change.removed_by_key.items():
@@ -138,7 +155,7 @@
                 continue
             table.rows_by_key[row.key] = row
             table.removed_by_key.pop(row.key, None)
-            self._put(row)
+            self._put(row, source)
         while len(table.removed_by_key) > MAX_REMOVED:
             del table.removed_by_key[next(iter(table.removed_by_key))]
         table.version = max(table.version, change.version)
@@ -155,34 +172,50 @@
             changes[name] = TableChange(rows, removed, table.version)
         return changes
 
-    def _put(self, row: Row) -> None:
+    def _put(self, row: Row, source: str) -> None:
         try:
             if row.key == CONFIGURATION_KEY:
-                self._put_configuration(row)
+                self._put_configuration(row, source)
             elif row.key.startswith(ROLLOUT_PREFIX):
                 order = decode_rollout_order(row.value)
                 self.orders_by_service[order.service] = Orders(order, row.version)
             elif row.key.startswith(f"{SERVERS_TABLE}/"):
                 self._put_server(row)
         except PlatformError as error:
-            eliot.log_message(
-                "row_ignored", key=row.key, version=row.version, reason=error.message
+            self._put_unreadable(row, source, error.message)
+
+    def _put_unreadable(self, row: Row, source: str, reason: str) -> None:
+        version = row.version
+        if row.key == CONFIGURATION_KEY:
+            self._log.configuration(
+                None, in_force=False, source=source, row_version=version, reason=reason
             )
-            if row.key.startswith(f"{SERVERS_TABLE}/"):
-                self.servers_by_id.pop(_server_id(row.key), None)
+        elif row.key.startswith(f"{SERVERS_TABLE}/"):
+            server_id = _server_id(row.key)
+            self.servers_by_id.pop(server_id, None)
+            self._log.backend_server(
+                server_id, Belief.GONE, reason=reason, row_version=version
+            )
+        else:
+            self._log.notice("row", reason, key=row.key, row_version=version)
 
-    def _put_configuration(self, row: Row) -> None:
+    def _put_configuration(self, row: Row, source: str) -> None:
         configuration = decode_configuration(row.value)
         if self.configuration and configuration.number < self.configuration.number:
-            eliot.log_message(
-                "older_configuration_ignored", number=configuration.number
+            self._log.configuration(
+                configuration.number,
+                in_force=False,
+                source=source,
+                row_version=row.version,
+                reason=f"older than {self.configuration.number}",
             )
             return
         self.configuration = configuration
         self.on_configuration(configuration)
-        eliot.log_message(
-            "configuration_in_force",
-            number=configuration.number,
+        self._log.configuration(
+            configuration.number,
+            in_force=True,
+            source=source,
             row_version=row.version,
             routes=len(configuration.routes),
             customers=len(configuration.customers_by_id),
@@ -197,12 +230,15 @@
         if known is not None and known.born != server.born:
             self.renewed.append(server_id)
         if known is None or (known.state, known.born) != (server.state, server.born):
-            eliot.log_message(
-                "backend_server",
-                server=server_id,
-                state=server.state.value,
+            ready = server.state is ServerState.READY
+            self._log.backend_server(
+                server_id,
+                Belief.READY if ready else Belief.LEAVING,
+                reason="its entry says so",
+                service=server.service,
                 address=server.address,
                 version=server.version,
+                born=server.born,
                 row_version=row.version,
             )
 
@@ -225,7 +261,7 @@
         self._doubted_versions.pop(server_id, None)
         if self.servers_by_id.pop(server_id, None) is not None:
             self.renewed.append(server_id)
-            eliot.log_message("backend_server_gone", server=server_id, reason=reason)
+            self._log.backend_server(server_id, Belief.GONE, reason=reason)
 
 
 def _key_of(server_id: BackendServerId) -> str:
--- a/bluebellshore/entry/loans.py
+++ b/bluebellshore/entry/loans.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
-import eliot
 import msgspec
 
 from bluebellshore.budget import Accountant
 from bluebellshore.budget.direct import DIRECT, DirectBook
+from bluebellshore.decisions import DecisionLog, silent_log
 from bluebellshore.errors import BluebellshoreError
 from bluebellshore.ids import BudgetId, CustomerId, IncarnationId, Tokens
 from bluebellshore.wire.link_pb2 import Receipt
@@ -94,7 +94,9 @@
         book: DirectBook,
         own: IncarnationId,
         clock: Callable[[], float],
+        log: DecisionLog | None = None,
     ):
+        self._log = log or silent_log()
         self.lent_tokens = 0
         self._book = book
         self._accountant = accountant
@@ -141,7 +143,13 @@
         before = self._clock() - LOAN_SECONDS
         for name, lent in list(self._lent_by_name.items()):
             if lent.at < before:
-                eliot.log_message("loan_expired", loan=name, tokens=lent.tokens)
+                self._log.notice(
+                    "loan",
+                    "not repaid in time, counted as spent",
+                    loan=name,
+                    customer=lent.customer,
+                    tokens=lent.tokens,
+                )
                 self.repay(name, lent.tokens)
         for name, at in list(self._withdrawn_at.items()):
             if at < before:
@@ -160,7 +168,9 @@
         own: IncarnationId,
         held: Callable[[CustomerId], Mapping[IncarnationId, Tokens]],
         clock: Callable[[], float],
+        log: DecisionLog | None = None,
     ):
+        self._log = log or silent_log()
         self.borrowed_tokens = 0
         self._held = held
         self._peers = peers
@@ -232,7 +242,7 @@
             async with asyncio.timeout(ASK_SECONDS):
                 lent = await self._peers.borrow(peer, loan)
         except (TimeoutError, BluebellshoreError) as error:
-            eliot.log_message("loan_unanswered", peer=peer, reason=str(error))
+            self._log.notice("loan", str(error), peer=peer, loan=loan.name)
             self.repay(peer, loan.name, Tokens(0))
             return Tokens(0)
         except asyncio.CancelledError:
@@ -249,4 +259,4 @@
             except (TimeoutError, BluebellshoreError) as error:
                 reason = str(error)
             await asyncio.sleep(REPAY_SECONDS)
-        eliot.log_message("loan_not_repaid", peer=peer, loan=name, reason=reason)
+        self._log.notice("loan", reason, peer=peer, loan=name, not_repaid=tokens)
--- a/bluebellshore/entry/members.py
+++ b/bluebellshore/entry/members.py
@@ -4,9 +4,9 @@
 import random
 from collections.abc import Callable
 
-import eliot
 import msgspec
 
+from bluebellshore.decisions import DecisionLog, silent_log
 from bluebellshore.errors import PlatformError
 from bluebellshore.ids import IncarnationId, InstanceId
 from bluebellshore.store import ABSENT, FeedingTable, Row, Write
@@ -36,7 +36,9 @@
         incarnation: IncarnationId,
         address: str,
         meet: Callable[[list[str]], None],
+        log: DecisionLog | None = None,
     ):
+        self._log = log or silent_log()
         self._table = table
         self._key = f"{TABLE}/{instance_id}"
         self._own = _Member(address, incarnation)
@@ -54,7 +56,7 @@
             try:
                 await self._look()
             except PlatformError as error:
-                eliot.log_message("members_unknown", reason=str(error))
+                self._log.notice("members", str(error), listed=self._listed)
             await asyncio.sleep(LOOK_SECONDS * random.uniform(0.8, 1.2))
 
     async def leave(self) -> None:
@@ -65,7 +67,7 @@
             if row is not None and self._is_own(row):
                 await self._table.transact([Write(self._key, row.version, None)])
         except PlatformError as error:
-            eliot.log_message("member_row_left", reason=str(error))
+            self._log.notice("members", str(error), row_left=self._key)
 
     async def _look(self) -> None:
         rows = (await self._table.snapshot(TABLE)).rows_by_key
@@ -81,10 +83,9 @@
     def _is_own(self, row: Row) -> bool:
         return self._decode(row) == self._own
 
-    @staticmethod
-    def _decode(row: Row) -> _Member | None:
+    def _decode(self, row: Row) -> _Member | None:
         try:
             return msgspec.json.decode(row.value, type=_Member)
         except msgspec.MsgspecError as error:
-            eliot.log_message("row_ignored", key=row.key, reason=str(error))
+            self._log.notice("row", str(error), key=row.key, row_version=row.version)
             return None
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -5,10 +5,10 @@
 import time
 from collections.abc import Callable
 
-import eliot
 import grpc
 import msgspec
 
+from bluebellshore.decisions import Contact, DecisionLog, silent_log
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.loans import Lender, Loan
 from bluebellshore.errors import LinkError
@@ -58,12 +58,16 @@
     """Another router, by the address of its exchange.
 
     :param seen_at: monotonic seconds of its last sign.
+    :param in_contact: whether the log says so.
+    :param failure: what the last failed exchange showed.
     """
 
     address: str
     incarnation: IncarnationId = IncarnationId("")
     instance_id: InstanceId = InstanceId("")
     seen_at: float = -1e9
+    in_contact: bool = False
+    failure: str = ""
     failures: int = 0
     next_at: float = 0.0
     leaving: bool = False
@@ -86,7 +90,9 @@
         knowledge: Knowledge,
         book: LoadBook,
         store_lost: Callable[[], bool],
+        log: DecisionLog | None = None,
     ):
+        self._log = log or silent_log()
         self._address = address
         self._instance_id = instance_id
         self._incarnation = incarnation
@@ -135,6 +141,7 @@
         while True:
             await asyncio.sleep(EXCHANGE_SECONDS * random.uniform(0.8, 1.2))
             now = time.monotonic()
+            self._note_lost(now)
             report = self._book.report()
             busy = report.loads_by_server or report.parts or report.results_by_server
             busy = busy or self._store_lost()
@@ -275,23 +282,42 @@
         for table in reply.tables:
             # This router asked since it lost the store: entries may have lapsed.
             change = _change_of(table)
-            self._knowledge.apply(table.table, change, now, after_outage=True)
+            self._knowledge.apply(
+                table.table, change, now, after_outage=True, source=peer.address
+            )
 
     def _seen(self, peer: Peer, incarnation: str) -> None:
-        now = time.monotonic()
-        if now - peer.seen_at > ALIVE_SECONDS:
-            eliot.log_message("peer_regained", peer=peer.address)
-        peer.seen_at = now
+        peer.seen_at = time.monotonic()
+        renewed = peer.incarnation and peer.incarnation != incarnation
         peer.incarnation = IncarnationId(incarnation)
+        if renewed or not peer.in_contact:
+            peer.in_contact = True
+            self._log.peer(
+                peer.address,
+                Contact.REGAINED,
+                reason=f"incarnation {incarnation}",
+                alive=len(self.alive()),
+            )
+
+    def _note_lost(self, now: float) -> None:
+        for peer in self.peers_by_address.values():
+            silent = now - peer.seen_at
+            if peer.in_contact and silent >= ALIVE_SECONDS:
+                peer.in_contact = False
+                self._log.peer(
+                    peer.address,
+                    Contact.LOST,
+                    reason="it left" if peer.leaving else peer.failure,
+                    silent_seconds=silent,
+                    alive=len(self.alive()),
+                )
 
     async def _failed(self, peer: Peer, error: Exception) -> None:
         peer.failures += 1
+        code = getattr(error, "code", lambda: None)()
+        peer.failure = code.name if code else type(error).__name__
         backoff = min(MAX_BACKOFF_SECONDS, EXCHANGE_SECONDS * 2**peer.failures)
         peer.next_at = time.monotonic() + backoff * random.uniform(0.5, 1.0)
-        if peer.failures == FAILURES_TO_RECONNECT:
-            eliot.log_message(
-                "peer_lost", peer=peer.address, reason=type(error).__name__
-            )
         if peer.failures % FAILURES_TO_RECONNECT == 0:
             channel = self._channels.pop(peer.address, None)
             if channel is not None:
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -5,10 +5,10 @@
 import uuid
 from typing import Any
 
-import eliot
 from aiohttp import web
 
 from bluebellshore.backend.direct import DirectBackend
+from bluebellshore.decisions import DecisionLog, open_decision_log, silent_log
 from bluebellshore.entry.admission import Admission
 from bluebellshore.entry.budgets import CustomerBudgets
 from bluebellshore.entry.dispatch import Dispatcher
@@ -28,8 +28,9 @@
 from bluebellshore.routing.placement import Placer
 from bluebellshore.routing.retry_window import RetryWindow
 from bluebellshore.routing.suspicion import Suspicion
+from bluebellshore.runtime import run_role
 
-__all__ = ["EntryRouter"]
+__all__ = ["EntryRouter", "serve"]
 
 #: Time for which a stopping router takes new connections: until the platform's
 #: second unanswered question whether it is ready, and the clients on their way.
@@ -51,12 +52,17 @@
     :ivar address: ``host:port`` of the callers' port.
     """
 
-    def __init__(self, settings: EntrySettings | None = None):
+    def __init__(
+        self,
+        settings: EntrySettings | None = None,
+        *,
+        incarnation: IncarnationId | None = None,
+        log: DecisionLog | None = None,
+    ):
         self.settings = settings or load_settings()
         self.address = self.settings.listen
-        self.incarnation = IncarnationId(
-            f"{self.settings.instance_id}.{uuid.uuid4().hex[:12]}"
-        )
+        self.incarnation = incarnation or _new_incarnation(self.settings)
+        self._log = log or silent_log()
         self.stopping = False
         self._tasks: list[asyncio.Task] = []
         self._ready_runner: web.ServerRunner | None = None
@@ -64,13 +70,10 @@
     async def start(self) -> None:
         """Begin to serve."""
         settings = self.settings
-        eliot.log_message(
-            "starting", instance=settings.instance_id, incarnation=self.incarnation
-        )
         self._store = PlatformStore(settings.store_address)
         await self._store.open()
-        self._knowledge = Knowledge(settings.server_lapse_seconds)
-        self._watch = StoreWatch(self._store, self._knowledge)
+        self._knowledge = Knowledge(settings.server_lapse_seconds, self._log)
+        self._watch = StoreWatch(self._store, self._knowledge, self._log)
         self._suspicion = Suspicion()
         self._book = LoadBook(self._suspicion)
         instance_id = InstanceId(settings.instance_id)
@@ -82,6 +85,7 @@
             knowledge=self._knowledge,
             book=self._book,
             store_lost=lambda: self._watch.lost,
+            log=self._log,
         )
         self._members = Members(
             self._store,
@@ -89,6 +93,7 @@
             self.incarnation,
             settings.peer_listen,
             self._peers.meet,
+            self._log,
         )
         self._backend = DirectBackend(
             ANSWER_HEADERS, max_connections=self._max_connections
@@ -149,7 +154,8 @@
         await self._ingress.close_port()
         while self._ingress.active and loop.time() < end:
             await asyncio.sleep(POLL_SECONDS)
-        eliot.log_message("leaving", unfinished=self._ingress.active)
+        if self._ingress.active:
+            self._log.notice("stop", "no time left", unfinished=self._ingress.active)
         await self._budgets.close()
         await self._members.leave()
         for task in self._tasks:
@@ -165,11 +171,17 @@
     def reload(self) -> None:
         """Read the settings file again; a bad one changes nothing."""
         try:
-            self.settings = load_settings()
+            settings = load_settings()
         except SettingsError as error:
-            eliot.log_message("settings_refused", problems=list(error.problems))
+            self._log.reloaded(refused=list(error.problems))
             return
-        eliot.log_message("reloaded")
+        changed = {
+            name: getattr(settings, name)
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self.settings, name)
+        }
+        self.settings = settings
+        self._log.reloaded(changed=changed)
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state of this process for a dump."""
@@ -240,3 +252,20 @@
         return RetryWindow(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_seconds
         )
+
+
+def serve() -> None:
+    """Serve until SIGTERM, with the settings of the environment.
+
+    :raises SettingsError: they are bad.
+    """
+    settings = load_settings()
+    incarnation = _new_incarnation(settings)
+    with open_decision_log(
+        settings.instance_id, incarnation, level=settings.log_level
+    ) as log:
+        run_role(EntryRouter(settings, incarnation=incarnation, log=log), log)
+
+
+def _new_incarnation(settings: EntrySettings) -> IncarnationId:
+    return IncarnationId(f"{settings.instance_id}.{uuid.uuid4().hex[:12]}")
--- a/bluebellshore/entry/settings.py
+++ b/bluebellshore/entry/settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from bluebellshore.decisions import LogLevel
+
 __all__ = ["EntrySettings"]
 
 
@@ -26,6 +28,8 @@
     :param exposure_share: share of a service's requests that a bad version may get.
     :param exposure_extra: requests that it may get beyond the share.
     :param rollback_seconds: time from the showing of badness to the last request.
+    :param log_level: how much is logged.
+    :param metrics_listen: for metrics and the state dump; empty for none.
     :param server_lapse_seconds: entries that lapsed while the store was out are
         back this long after its return.
     """
@@ -53,4 +57,6 @@
     delivery_slack_seconds: float = 0.1
     settle_seconds: float = 1.5
     cache_reuse_seconds: float = 0.0
+    log_level: LogLevel = LogLevel.ALL
+    metrics_listen: str = ""
     server_lapse_seconds: float = 2.0
--- a/bluebellshore/entry/watch.py
+++ b/bluebellshore/entry/watch.py
@@ -4,8 +4,7 @@
 import random
 import time
 
-import eliot
-
+from bluebellshore.decisions import Contact, DecisionLog, silent_log
 from bluebellshore.entry.knowledge import TABLES, Knowledge
 from bluebellshore.errors import HistoryLostError, PlatformError
 from bluebellshore.store import FeedingTable
@@ -29,7 +28,13 @@
 class StoreWatch:
     """Reads each table once, then waits for its changes."""
 
-    def __init__(self, store: FeedingTable, knowledge: Knowledge):
+    def __init__(
+        self,
+        store: FeedingTable,
+        knowledge: Knowledge,
+        log: DecisionLog | None = None,
+    ):
+        self._log = log or silent_log()
         self._store = store
         self._knowledge = knowledge
         self._versions: dict[str, int | None] = dict.fromkeys(TABLES)
@@ -40,9 +45,12 @@
     @property
     def lost(self) -> bool:
         """Whether the store gave no answer for a while."""
-        return time.monotonic() - min(self._seen_at.values()) > (
-            LOST_SECONDS + WAIT_SECONDS
-        )
+        return self.silent_seconds > LOST_SECONDS + WAIT_SECONDS
+
+    @property
+    def silent_seconds(self) -> float:
+        """Time since all tables were last confirmed."""
+        return time.monotonic() - min(self._seen_at.values())
 
     async def run(self) -> None:
         """Follow all tables until cancelled."""
@@ -56,7 +64,7 @@
                 await self._step(table)
                 pause = PACE_SECONDS
             except HistoryLostError as error:
-                eliot.log_message("store_history_lost", table=table, reason=str(error))
+                self._log.notice("store", str(error), table=table)
                 self._versions[table] = None
                 pause = 0.0
             except PlatformError as error:
@@ -83,7 +91,7 @@
         self._seen_at[table] = time.monotonic()
         if self._lost and not self.lost:
             self._lost = False
-            eliot.log_message("store_regained", versions=self._knowledge.versions())
+            self._log.store(Contact.REGAINED, versions=self._knowledge.versions())
 
     def _after_outage(self, table: str, now: float) -> bool:
         if now - self._seen_at[table] > LOST_SECONDS + WAIT_SECONDS:
@@ -93,4 +101,9 @@
     def _note_failure(self, table: str, error: PlatformError) -> None:
         if not self._lost and self.lost:
             self._lost = True
-            eliot.log_message("store_lost", table=table, reason=str(error))
+            self._log.store(
+                Contact.LOST,
+                reason=f"{table}: {error}",
+                silent_seconds=self.silent_seconds,
+                versions=self._knowledge.versions(),
+            )
--- a/bluebellshore/platform/settings.py
+++ b/bluebellshore/platform/settings.py
@@ -6,12 +6,16 @@
 
 import msgspec
 
+from bluebellshore.decisions import LogLevel
 from bluebellshore.entry.settings import EntrySettings
 from bluebellshore.errors import SettingsError
 
 __all__ = ["SETTINGS_VARIABLE", "load_settings", "parse_settings_file"]
 
 SETTINGS_VARIABLE = "BLUEBELLSHORE_SETTINGS"
+#: Set by ``env`` of the deploy file.
+LOG_LEVEL_VARIABLE = "BLUEBELLSHORE_LOG_LEVEL"
+METRICS_VARIABLE = "BLUEBELLSHORE_METRICS_LISTEN"
 MEBIBYTE = 1024 * 1024
 MILLISECONDS = 1000.0
 
@@ -96,9 +100,24 @@
     if not path:
         raise SettingsError([f"{SETTINGS_VARIABLE} is not set"])
     try:
-        return parse_settings_file(Path(path).read_bytes())
+        settings = parse_settings_file(Path(path).read_bytes())
     except OSError as error:
         raise SettingsError([f"{path}: {error.strerror}"]) from error
+    return msgspec.structs.replace(
+        settings,
+        log_level=_log_level(),
+        metrics_listen=os.environ.get(METRICS_VARIABLE, ""),
+    )
+
+
+def _log_level() -> LogLevel:
+    word = os.environ.get(LOG_LEVEL_VARIABLE) or LogLevel.ALL.value
+    try:
+        return LogLevel(word)
+    except ValueError:
+        known = ", ".join(level.value for level in LogLevel)
+        problem = f"{LOG_LEVEL_VARIABLE}: {word!r} is none of {known}"
+        raise SettingsError([problem]) from None
 
 
 def _decode(
--- a/bluebellshore/runtime.py
+++ b/bluebellshore/runtime.py
@@ -10,6 +10,8 @@
 import eliot
 import uvloop
 
+from bluebellshore.decisions import DecisionLog
+
 __all__ = ["Role", "run_role", "wait_for_signal"]
 
 
@@ -32,15 +34,18 @@
     """Adapts a :class:`Role` to aiomisc."""
 
     role: Role
+    log: DecisionLog | None = None
 
     async def start(self) -> None:
         """Start the role and log where it serves."""
         await self.role.start()
         name = type(self.role).__name__
         operator = getattr(self.role, "operator_address", "")
-        eliot.log_message(
-            "ready", role=name, address=self.role.address, operator_address=operator
-        )
+        addresses = {"address": self.role.address, "operator_address": operator}
+        if self.log is not None:
+            self.log.started(name, **addresses)
+            return
+        eliot.log_message("ready", role=name, **addresses)
         sys.stdout.flush()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -61,20 +66,31 @@
     await stopped.wait()
 
 
-async def _serve(role: Role) -> None:
+async def _serve(role: Role, log: DecisionLog | None) -> None:
     await wait_for_signal(getattr(role, "reload", None))
-    eliot.log_message("stopping", role=type(role).__name__)
+    name = type(role).__name__
+    if log is None:
+        eliot.log_message("stopping", role=name)
+        await role.stop()
+        eliot.log_message("stopped", role=name)
+        return
+    log.stopping("signal", role=name)
     await role.stop()
-    eliot.log_message("stopped", role=type(role).__name__)
+    log.stopped(role=name)
 
 
-def run_role(role: Role) -> None:
+def run_role(role: Role, log: DecisionLog | None = None) -> None:
     """Run `role` until SIGTERM or SIGINT, then stop it gracefully.
 
     Writes eliot JSON lines to standard output; the line with ``message_type``
-    ``ready`` carries ``address`` and ``operator_address``.
+    ``ready``, in a decision log ``started``, carries ``address`` and
+    ``operator_address``.
+
+    :param log: an open decision log, which writes to standard output itself.
     """
-    eliot.to_file(sys.stdout)
+    if log is None:
+        eliot.to_file(sys.stdout)
     uvloop.install()
-    with aiomisc.entrypoint(RoleService(role=role), log_config=False) as loop:
-        loop.run_until_complete(_serve(role))
+    service = RoleService(role=role, log=log)
+    with aiomisc.entrypoint(service, log_config=False) as loop:
+        loop.run_until_complete(_serve(role, log))
