Log and count every request of an entry router; serve metrics and state

Cause: a failed request could not be traced to its cause: refusals had no id, placements and budgets no inputs, and nothing was served as metrics. Each request now ends in one line: refused where it is known not to have run, else ended. Ruled out: lines from the decisions themselves, which stay free of I/O; LoadBook and Suspicion tell what a choice rested on instead.

--- a/bluebellshore/decisions/requests.py
+++ b/bluebellshore/decisions/requests.py
@@ -269,6 +269,7 @@
         prepaid: int | None = None,
         reserved: int | None = None,
         version: int | None = None,
+        inputs: Inputs | None = None,
     ) -> None:
         """Log what a request was granted or denied, or what it cost in the end.
 
@@ -278,6 +279,7 @@
         :param prepaid: paid for so far, as the configuration says.
         :param reserved: set aside for running requests.
         :param version: of the row that the balance rests on.
+        :param inputs: what else decided it, with ages.
         """
         self.of_request(
             Kind.BUDGET,
@@ -291,6 +293,7 @@
                 "prepaid": prepaid,
                 "reserved": reserved,
                 "version": version,
+                "inputs": inputs or None,
             },
             grave=outcome is BudgetOutcome.SHORT,
         )
--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -6,11 +6,12 @@
 
 import msgspec
 
+from bluebellshore.decisions import DecisionLog, silent_log
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.errors import OverloadError
 from bluebellshore.fleet import Call
 from bluebellshore.ids import BackendServerId, ServiceName
-from bluebellshore.routing.load import LoadBook, Ticket
+from bluebellshore.routing.load import LoadBook, LoadView, Ticket
 from bluebellshore.routing.placement import Place, Placer, Refuse, Wait
 from bluebellshore.routing.results import Result
 from bluebellshore.routing.suspicion import Suspicion
@@ -29,17 +30,38 @@
     """A place that is taken from now on.
 
     :param waited_seconds: time from the request for it.
+    :param candidates: backend servers among which it was chosen.
+    :param view: what was known of the chosen one.
     """
 
     place: Place
     ticket: Ticket
     waited_seconds: float
+    candidates: int
+    view: LoadView
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    """A decision, with the backend servers listed and those that were usable."""
+
+    decision: Place | Wait | Refuse
+    listed: int | None = None
+    usable: int | None = None
+
+
+class _Taken(msgspec.Struct, frozen=True):
+    place: Place
+    ticket: Ticket
+    candidates: int
+    view: LoadView
 
 
 class _Waiting(msgspec.Struct, eq=False):
     call: Call
     tried: set[BackendServerId]
-    future: asyncio.Future[tuple[Place, Ticket]]
+    future: asyncio.Future[_Taken]
+    choice: _Choice
+    ahead: int
 
 
 class Admission:
@@ -51,7 +73,9 @@
         book: LoadBook,
         placer: Placer,
         suspicion: Suspicion,
+        log: DecisionLog | None = None,
     ):
+        self._log = log or silent_log()
         self._knowledge = knowledge
         self._book = book
         self._placer = placer
@@ -76,11 +100,14 @@
         """
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        place, ticket = await self._take(call, service, tried)
+        taken = await self._take(call, service, tried)
+        waited = loop.time() - began_at
         try:
-            yield Admitted(place, ticket, loop.time() - began_at)
+            yield Admitted(
+                taken.place, taken.ticket, waited, taken.candidates, taken.view
+            )
         finally:
-            self._book.abandon(ticket, loop.time())
+            self._book.abandon(taken.ticket, loop.time())
             self.freed(service)
 
     def freed(self, service: ServiceName) -> None:
@@ -91,14 +118,14 @@
         now = asyncio.get_running_loop().time()
         for call, refuse in queue.expired(now):
             self._resolve(call, refuse)
-        found: list[Place] = []
+        found: list[_Choice] = []
 
         def fits(call: Call) -> bool:
             waiting = self._waiting[call.attempt_id]
-            decision = self._choose(call, service, waiting.tried, now)
-            if isinstance(decision, Place):
-                found.append(decision)
-            return isinstance(decision, Place)
+            choice = self._choose(call, service, waiting.tried, now)
+            if isinstance(choice.decision, Place):
+                found.append(choice)
+            return isinstance(choice.decision, Place)
 
         while (call := queue.next(now, fits)) is not None:
             self._resolve(call, found.pop())
@@ -112,20 +139,27 @@
 
     async def _take(
         self, call: Call, service: ServiceName, tried: set[BackendServerId]
-    ) -> tuple[Place, Ticket]:
+    ) -> _Taken:
         now = asyncio.get_running_loop().time()
         queue = self._queues.setdefault(service, WaitingQueue(MOST_WAITING))
-        decision: object = Wait("others wait")
+        choice = _Choice(Wait("others wait"))
         if not len(queue):
-            decision = self._choose(call, service, tried, now)
+            choice = self._choose(call, service, tried, now)
+        decision, ahead = choice.decision, len(queue)
         if isinstance(decision, Place):
             queue.note_start(call, now)
-            return decision, self._book.begin(call, decision.server, now)
+            return self._begin(call, choice, now)
         if not isinstance(decision, Refuse):
             decision = queue.offer(call, now)
         if isinstance(decision, Refuse):
-            raise _overload(decision)
-        return await self._wait(call, service, tried, queue)
+            raise self._overload(call, service, decision, choice)
+        return await self._wait(call, service, tried, queue, choice, ahead)
+
+    def _begin(self, call: Call, choice: _Choice, now: float) -> _Taken:
+        place = choice.decision
+        view = self._book.view_of(place.server.server_id, now)
+        ticket = self._book.begin(call, place.server, now)
+        return _Taken(place, ticket, choice.usable or 0, view)
 
     async def _wait(
         self,
@@ -133,32 +167,47 @@
         service: ServiceName,
         tried: set[BackendServerId],
         queue: WaitingQueue,
-    ) -> tuple[Place, Ticket]:
+        choice: _Choice,
+        ahead: int,
+    ) -> _Taken:
         loop = asyncio.get_running_loop()
-        waiting = _Waiting(call, tried, loop.create_future())
+        waiting = _Waiting(call, tried, loop.create_future(), choice, ahead)
         self._waiting[call.attempt_id] = waiting
+        began_at, outcome = loop.time(), "placed"
         try:
             self.freed(service)
             return await waiting.future
+        except OverloadError as error:
+            outcome = error.message
+            raise
         except asyncio.CancelledError:
+            outcome = "the caller left, or its time was over"
             queue.withdraw(call)
             future = waiting.future
             if future.done() and not future.cancelled() and not future.exception():
-                self._book.end(future.result()[1], Result.LEFT, loop.time())
+                self._book.end(future.result().ticket, Result.LEFT, loop.time())
             raise
         finally:
             self._waiting.pop(call.attempt_id, None)
-
-    def _resolve(self, call: Call, decision: Place | Refuse) -> None:
+            self._log.waited(
+                call.attempt_id,
+                seconds=loop.time() - began_at,
+                reason=choice.decision.reason,
+                outcome=outcome,
+                ahead=ahead,
+                servers=choice.usable,
+            )
+
+    def _resolve(self, call: Call, decision: _Choice | Refuse) -> None:
         waiting = self._waiting.pop(call.attempt_id, None)
         if waiting is None or waiting.future.done():
             return
         if isinstance(decision, Refuse):
-            waiting.future.set_exception(_overload(decision))
+            error = self._overload(call, "", decision, waiting.choice)
+            waiting.future.set_exception(error)
             return
         now = asyncio.get_running_loop().time()
-        ticket = self._book.begin(call, decision.server, now)
-        waiting.future.set_result((decision, ticket))
+        waiting.future.set_result(self._begin(call, decision, now))
 
     def _choose(
         self,
@@ -166,16 +215,29 @@
         service: ServiceName,
         tried: set[BackendServerId],
         now: float,
-    ) -> Place | Wait | Refuse:
+    ) -> _Choice:
         servers = self._knowledge.servers_of(service, now)
         usable = self._suspicion.usable(servers, now)
         decision = self._placer.place(call, usable, now, tried)
         if isinstance(decision, Refuse) and tried:
-            return self._placer.place(call, usable, now)
-        return decision
-
+            decision = self._placer.place(call, usable, now)
+        return _Choice(decision, len(servers), len(usable))
 
-def _overload(refuse: Refuse) -> OverloadError:
-    return OverloadError(
-        refuse.reason, step="admission", retry_after=refuse.retry_after_seconds
-    )
+    def _overload(
+        self, call: Call, service: str, refuse: Refuse, choice: _Choice
+    ) -> OverloadError:
+        now = asyncio.get_running_loop().time()
+        inputs = {
+            "service": service or None,
+            "at_first": getattr(choice.decision, "reason", None),
+            "listed": choice.listed,
+            "usable": choice.usable,
+            "waiting": self.waiting,
+            "seconds_left": call.deadline - now,
+        }
+        return OverloadError(
+            refuse.reason,
+            step="admission",
+            retry_after=refuse.retry_after_seconds,
+            inputs={name: value for name, value in inputs.items() if value is not None},
+        )
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -16,10 +16,11 @@
     AllotmentPolicy,
     StandbyPolicy,
 )
-from bluebellshore.budget.composer import Transaction
 from bluebellshore.budget.direct import DIRECT, DirectBook
 from bluebellshore.budget.predecessor import Predecessors
 from bluebellshore.budget.rows import BudgetRow, budget_key, decode_row
+from bluebellshore.decisions import DecisionLog
+from bluebellshore.entry.budget_lines import BudgetLines
 from bluebellshore.entry.loans import (
     Borrower,
     Lender,
@@ -27,6 +28,7 @@
     RouterPeers,
     make_receipt,
 )
+from bluebellshore.entry.measures import EntryMeasures
 from bluebellshore.errors import (
     InsufficientBudgetError,
     OverloadError,
@@ -60,8 +62,6 @@
 #: Waits for tokens from the store: before other routers are asked first, and again.
 FIRST_WAIT_SECONDS = 0.03
 NEXT_WAIT_SECONDS = 0.15
-#: At most one line on refusals per customer in this time.
-REFUSAL_LINE_SECONDS = 1.0
 #: After which a refused request may find tokens that others hold now.
 RETRY_AFTER_SECONDS = 0.5
 
@@ -83,13 +83,6 @@
     lent: dict[IncarnationId, Tokens] = msgspec.field(default_factory=dict)
 
 
-class _Refusals(msgspec.Struct):
-    """Refusals of a customer since the last line on them."""
-
-    logged_at: float = float("-inf")
-    count: int = 0
-
-
 class CustomerBudgets:
     """Reserves and settles tokens of customers from allotments of this router.
 
@@ -119,6 +112,8 @@
         store_time: Callable[[], StoreTime | None] = lambda: None,
         times: AccountantTimes = TIMES,
         incarnation: IncarnationId | None = None,
+        log: DecisionLog | None = None,
+        measures: EntryMeasures | None = None,
     ):
         self.incarnation = incarnation or IncarnationId(
             f"{instance_id}.{uuid.uuid4().hex[:12]}"
@@ -145,19 +140,29 @@
             book=self._book,
             keeps_ledger=False,
         )
-        self._accountant.on_applied = self._log_applied
-        self._accountant.on_platform = self._log_platform
+        self._lines = BudgetLines(
+            self._book,
+            self._accountant,
+            prepaid=prepaid,
+            store_time=store_time,
+            clock=clock,
+            log=log,
+            measures=measures,
+        )
+        self._accountant.on_applied = self._lines.applied
+        self._accountant.on_platform = self._lines.platform
         #: For other routers to borrow from.
-        self.lender = Lender(self._accountant, self._book, self.incarnation, clock)
+        self.lender = Lender(
+            self._accountant, self._book, self.incarnation, clock, self._lines.log
+        )
         self._borrower = peers and Borrower(
-            peers, self.incarnation, self._held_elsewhere, clock
+            peers, self.incarnation, self._held_elsewhere, clock, self._lines.log
         )
         self._predecessors = Predecessors(
             table, self.incarnation, instance_id, store_time, rng
         )
         self._open_by_attempt: dict[str, _Open] = {}
         self._count = 0
-        self._refusals: dict[CustomerId, _Refusals] = {}
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -201,16 +206,20 @@
             self._open_by_attempt.pop(attempt_id, None)
             if isinstance(error, RefusedError):
                 refusal = self._truthful(error, opened)
-                self._log_refused(refusal, opened, self._clock() - began_at)
+                waited = self._clock() - began_at
+                self._lines.refused(attempt_id, customer, tokens, refusal, waited)
                 raise refusal from error
             raise
+        lent = sum(opened.lent.values())
+        self._lines.granted(attempt_id, customer, tokens, lent)
 
     def settle(self, attempt_id: str, tokens: Tokens) -> None:
         """Count what an attempt cost, at most what was reserved."""
         opened = self._open_by_attempt.pop(attempt_id, None)
         if opened is None:
             return
-        cost = max(0, min(tokens, opened.tokens))
+        cost = Tokens(max(0, min(tokens, opened.tokens)))
+        settled = cost
         if opened.own:
             receipt = make_receipt(
                 self.incarnation, opened.name, opened.customer, cost, opened.own
@@ -221,6 +230,7 @@
             part = Tokens(min(cost, lent))
             self._borrower.repay(peer, opened.loan, part)
             cost -= part
+        self._lines.settled(attempt_id, opened.customer, settled)
 
     def release(self, attempt_id: str) -> None:
         """Return the tokens of an attempt that did not run."""
@@ -231,6 +241,7 @@
             self._accountant.release(opened.name)
         for peer in opened.lent:
             self._borrower.repay(peer, opened.loan, Tokens(0))
+        self._lines.settled(attempt_id, opened.customer, Tokens(0))
 
     def apply(self, change: TableChange) -> None:
         """Take in changes of the table :data:`BUDGET_TABLE`."""
@@ -283,7 +294,7 @@
                 eliot.write_traceback()  # a row that can't be read must not end it
             await asyncio.sleep(RECOVER_SECONDS)
         if self.fenced:
-            eliot.log_message("budgets_fenced", incarnation=self.incarnation)
+            self._lines.log.notice("budgets", "a later life of this instance took over")
 
     async def _recover(self) -> None:
         while True:
@@ -291,15 +302,13 @@
                 recovered = await self._predecessors.recover()
                 break
             except PlatformError as error:
-                eliot.log_message("predecessors_unread", reason=str(error))
+                self._lines.log.notice("predecessors", str(error))
             await asyncio.sleep(RECOVER_SECONDS)
         for predecessor in recovered:
-            eliot.log_message(
-                "predecessor_recovered",
-                incarnation=predecessor.incarnation,
-                spent=predecessor.spent,
-                returned=predecessor.returned,
-            )
+            for budget, tokens in predecessor.returned.items():
+                spent = predecessor.spent.get(budget, 0)
+                reason = f"{predecessor.incarnation} is dead; {spent} count as spent"
+                self._lines.reclaimed(budget, tokens, reason)
 
     async def _prefetch(self) -> None:
         """Lay in a stock for customers that are new in the configuration."""
@@ -389,51 +398,3 @@
             peer=opened.customer,
             retry_after=RETRY_AFTER_SECONDS,
         )
-
-    # Lines for operators
-
-    def _log_refused(self, error: RefusedError, opened: _Open, waited: float) -> None:
-        now = self._clock()
-        refusals = self._refusals.setdefault(opened.customer, _Refusals())
-        refusals.count += 1
-        if now - refusals.logged_at < REFUSAL_LINE_SECONDS:
-            return
-        account = self._book.account(BudgetId(opened.customer))
-        cover = self._accountant.cover(BudgetId(opened.customer))
-        eliot.log_message(
-            "budget_refused"
-            if isinstance(error, OverloadError)
-            else "budget_exhausted",
-            customer=opened.customer,
-            status=error.status,
-            reason=error.message,
-            refusals=refusals.count,
-            tokens=opened.tokens,
-            waited_seconds=waited,
-            free=account.free,
-            reserved=account.reserved,
-            unsettled=account.unsettled,
-            prepaid_total=self._prepaid(opened.customer),
-            cover=cover and cover.tokens,
-            cover_prepaid_total=cover and cover.prepaid_total,
-            cover_age_seconds=cover and now - cover.seen_at,
-            store_lost=self._accountant.platform_out,
-        )
-        refusals.count, refusals.logged_at = 0, now
-
-    def _log_applied(self, transaction: Transaction) -> None:
-        if transaction.grants or transaction.returns:
-            eliot.log_message(
-                "budget_granted",
-                incarnation=self.incarnation,
-                sequence=transaction.sequence,
-                grants=transaction.grants,
-                returns=transaction.returns,
-            )
-
-    def _log_platform(self, out: bool) -> None:
-        eliot.log_message(
-            "budget_store_lost" if out else "budget_store_regained",
-            incarnation=self.incarnation,
-            unsettled=len(self._book.unsettled_by_attempt),
-        )
--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -6,7 +6,6 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
-import eliot
 import xxhash
 
 from bluebellshore.backend import (
@@ -17,8 +16,10 @@
     Outcome,
 )
 from bluebellshore.entry.admission import Admission, Admitted
+from bluebellshore.entry.attempt_lines import AttemptLines
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
+from bluebellshore.entry.trace import Trace
 from bluebellshore.errors import OverloadError, RefusedError, RunState
 from bluebellshore.fleet import BackendServer, Call, RouteKind
 from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
@@ -65,7 +66,8 @@
 class _Progress:
     """What became of a call so far."""
 
-    def __init__(self) -> None:
+    def __init__(self, trace: Trace) -> None:
+        self.trace = trace
         self.sends = 0
         self.unreachable = 0
         self.may_have_run = False
@@ -83,6 +85,7 @@
     :param headers: returns the headers with which a backend server gets a call, from
         the call, the server, the seconds left and the last event id.
     :param routers: returns the most routers that may be serving.
+    :param lines: told of attempts.
     """
 
     def __init__(
@@ -97,7 +100,9 @@
         headers: Callable[[Call, BackendServer, float, str], list[tuple[str, str]]],
         retry_window: Callable[[], RetryWindow],
         routers: Callable[[], int],
+        lines: AttemptLines | None = None,
     ):
+        self._lines = lines or AttemptLines(book)
         self._knowledge = knowledge
         self._book = book
         self._admission = admission
@@ -110,13 +115,14 @@
         self._retries_by_service: dict[ServiceName, RetryWindow] = {}
         self.active = 0
 
-    async def serve(self, call: Call, sink: Sink) -> None:
+    async def serve(self, call: Call, sink: Sink, trace: Trace) -> None:
         """Answer a call.
 
+        :param trace: takes in what becomes of it.
         :raises RefusedError: there is no answer; nothing was written to `sink`, or
             its answer broke off.
         """
-        progress = _Progress()
+        progress = _Progress(trace)
         self.active += 1
         try:
             async with asyncio.timeout_at(call.deadline), self._budget(call, progress):
@@ -142,6 +148,7 @@
         finally:
             if progress.may_have_run:
                 spent = self._spent(call, progress)
+                progress.trace.tokens = spent
                 self._budgets.settle(call.attempt_id, spent)
             else:
                 self._budgets.release(call.attempt_id)
@@ -177,6 +184,7 @@
             try:
                 async with self._admitted(call, service, progress) as admitted:
                     server = admitted.place.server
+                    self._lines.placed(call, admitted, progress.trace)
                     await self._attempt(call, admitted, sink, progress)
                 return
             except AttemptError as error:
@@ -190,16 +198,19 @@
                     now=now(),
                 )
                 progress.tried.add(server.server_id)
-                if step is Next.REPEAT and not retries.allow(now(), self._routers()):
+                allowed = step is not Next.REPEAT or retries.allow(
+                    now(), self._routers()
+                )
+                if not allowed:
                     step = Next.GIVE_UP
-                eliot.log_message(
-                    "attempt_failed",
-                    request=call.attempt_id,
-                    server=server.server_id,
-                    outcome=error.outcome.value,
-                    reason=error.message,
-                    next=step.value,
+                self._lines.failed(
+                    call,
+                    error,
+                    progress.trace,
+                    step,
                     sends=progress.sends,
+                    allowed=allowed,
+                    now=now(),
                 )
                 if step is Next.GIVE_UP:
                     raise _given_up(error, progress) from error
@@ -259,6 +270,7 @@
             raise
         finally:
             now = loop.time()
+            self._lines.ended(result.value)
             if result is not Result.LEFT:
                 first_seconds = self._book.first_event(ticket, now)
             self._book.end(ticket, result, now, self._output_tokens(call, progress))
@@ -307,9 +319,10 @@
         loop = asyncio.get_running_loop()
         began = False
 
-        def on_event() -> None:
+        def on_event(events: int) -> None:
             nonlocal began
             now = loop.time()
+            self._lines.events(call, progress.trace, events, sink.behind_bytes, now)
             if not began:
                 began = True
                 self._book.first_event(admitted.ticket, now)
--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -4,13 +4,13 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
-import eliot
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 
 from bluebellshore.entry.intake import admit
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.relay import Sink
+from bluebellshore.entry.trace import RequestEnds, Trace
 from bluebellshore.errors import OverloadError, RefusedError, RequestError
 from bluebellshore.fleet import Call
 from bluebellshore.platform.requests import CONNECTION_HEADERS, RequestHead
@@ -33,17 +33,20 @@
 class Ingress:
     """Serves callers on one port.
 
-    :param serve: answers a call.
+    :param serve: answers a call, and notes in its trace what became of it.
     :param memory_bytes: memory that the process may take; 0 when unknown.
+    :param ends: told how each request ended.
     """
 
     def __init__(
         self,
         knowledge: Knowledge,
-        serve: Callable[[Call, Sink], Awaitable[None]],
+        serve: Callable[[Call, Sink, Trace], Awaitable[None]],
         *,
         memory_bytes: int,
+        ends: RequestEnds | None = None,
     ):
+        self._ends = ends or RequestEnds()
         self._knowledge = knowledge
         self._serve = serve
         self._body_bytes = 0
@@ -96,43 +99,58 @@
     async def _answer(
         self, request: web.BaseRequest, sink: "_HttpSink"
     ) -> web.StreamResponse:
+        now = asyncio.get_running_loop().time
+        trace, ends = Trace(now()), self._ends
         try:
-            await self._forward(request, sink)
+            await self._forward(request, sink, trace)
         except RequestError as error:
-            return self._refuse(sink, HTTPStatus.BAD_REQUEST, error.message)
+            status = HTTPStatus.BAD_REQUEST.value
+            ends.failed(trace, error, now(), status=status, began=False)
+            return self._refuse(status, error.message)
         except RefusedError as error:
-            if sink.response is not None:
-                eliot.log_message("answer_broken_off", reason=str(error))
+            began = sink.response is not None
+            status = sink.status or error.status
+            ends.failed(trace, error, now(), status=status, began=began)
+            if began:
                 return sink.abort()
-            return self._refuse(
-                sink, error.status, error.message, retry_after=error.retry_after
-            )
+            return self._refuse(status, error.message, error.retry_after)
+        except (asyncio.CancelledError, ConnectionError):
+            ends.left(trace, sink.status, now())
+            raise
+        except Exception as error:
+            ends.broken(trace, error, now())
+            raise
+        ends.answered(trace, sink.status, now())
         return sink.response
 
-    async def _forward(self, request: web.BaseRequest, sink: "_HttpSink") -> None:
-        received_at = asyncio.get_running_loop().time()
+    async def _forward(
+        self, request: web.BaseRequest, sink: "_HttpSink", trace: Trace
+    ) -> None:
         configuration = self._knowledge.configuration
         if configuration is None:
             raise OverloadError(
                 "no configuration is known yet", step="ingress", retry_after=0.5
             )
+        trace.configuration = configuration.number
         head = RequestHead.decode(request.headers.items())
+        trace.request = head.attempt_id
         call = admit(
             configuration,
             head,
             method=request.method,
             target=request.raw_path,
             host=request.headers.get("Host", ""),
-            received_at=received_at,
+            received_at=trace.received_at,
             default_seconds=DEFAULT_DEADLINE_SECONDS,
         )
+        self._ends.admitted(trace, call, trace.received_at)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             request.writer.output_size = 0
         body = await self._read_body(request, configuration.limits.body_bytes)
         try:
             call.body = body
-            await self._serve(call, sink)
+            await self._serve(call, sink, trace)
         finally:
             self._body_bytes -= len(body)
 
@@ -162,11 +180,7 @@
         return bytes(body)
 
     def _refuse(
-        self,
-        sink: "_HttpSink",
-        status: int,
-        reason: str,
-        retry_after: float | None = None,
+        self, status: int, reason: str, retry_after: float | None = None
     ) -> web.StreamResponse:
         headers = {}
         if retry_after is not None:
@@ -174,9 +188,6 @@
         response = web.Response(status=status, text=reason + "\n", headers=headers)
         if self.leaving:
             response.force_close()
-        eliot.log_message(
-            "refused", status=int(status), reason=reason, retry_after=retry_after
-        )
         return response
 
 
@@ -192,6 +203,17 @@
         self._writer: AbstractStreamWriter | None = None
         self.response: web.StreamResponse | None = None
 
+    @property
+    def status(self) -> int:
+        """Status that was written; 0 for none."""
+        return 0 if self.response is None else self.response.status
+
+    @property
+    def behind_bytes(self) -> int:
+        """Bytes that wait for the caller to read."""
+        transport = self._request.transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
     async def start(
         self, status: int, headers: list[tuple[str, str]], length: int | None
     ) -> None:
--- a/bluebellshore/entry/knowledge.py
+++ b/bluebellshore/entry/knowledge.py
@@ -80,6 +80,11 @@
             and not self._is_doubted(server.server_id)
         ]
 
+    def count_ready(self) -> int:
+        """Return how many backend servers say that they take requests."""
+        servers = self.servers_by_id.values()
+        return sum(server.state is ServerState.READY for server in servers)
+
     def doubt(self, server_id: BackendServerId) -> None:
         """Leave a backend server out whose address belongs to another one.
 
--- /dev/null
+++ b/bluebellshore/entry/metrics_port.py
@@ -0,0 +1,57 @@
+"""Port for operators of an entry router: metrics as text, state as JSON."""
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+from aiohttp import web
+from prometheus_client import CollectorRegistry
+
+from bluebellshore.entry.measures import measures_handler
+from bluebellshore.operator_port import bind
+
+__all__ = ["METRICS_PATH", "STATE_PATH", "MetricsPort"]
+
+METRICS_PATH = "/metrics"
+STATE_PATH = "/state"
+
+
+class MetricsPort:
+    """Serves what operators read of one process.
+
+    :param refresh: called before metrics are read, to set gauges.
+    :param snapshot: returns the state to dump.
+    """
+
+    def __init__(
+        self,
+        registry: CollectorRegistry,
+        *,
+        refresh: Callable[[], None],
+        snapshot: Callable[[], dict[str, Any]],
+    ):
+        self._registry = registry
+        self._refresh = refresh
+        self._snapshot = snapshot
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, listen: str) -> str:
+        """Begin to serve. :return: the ``host:port`` bound."""
+        app = web.Application()
+        metrics = measures_handler(self._registry, self._refresh)
+        app.router.add_get(METRICS_PATH, metrics)
+        app.router.add_get(STATE_PATH, self._get_state)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        return await bind(self._runner, listen)
+
+    async def stop(self) -> None:
+        """Stop to serve."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _get_state(self, request: web.Request) -> web.Response:
+        body = orjson.dumps(
+            self._snapshot(), default=str, option=orjson.OPT_NON_STR_KEYS
+        )
+        return web.Response(body=body, content_type="application/json")
--- a/bluebellshore/entry/relay.py
+++ b/bluebellshore/entry/relay.py
@@ -25,7 +25,12 @@
 
 
 class Sink(Protocol):
-    """Where an answer goes."""
+    """Where an answer goes.
+
+    :ivar behind_bytes: written, and not yet taken by the caller's connection.
+    """
+
+    behind_bytes: int
 
     async def start(
         self, status: int, headers: list[tuple[str, str]], length: int | None
@@ -98,11 +103,11 @@
         return "" if self._last_number is None else str(self._last_number)
 
     async def run(
-        self, answer: Answer, on_event: Callable[[], None], first_seconds: float
+        self, answer: Answer, on_event: Callable[[int], None], first_seconds: float
     ) -> None:
         """Pass on events until the end of the stream.
 
-        :param on_event: called when events have come.
+        :param on_event: called with the number of events that have come.
         :param first_seconds: longest wait for it.
         :raises AttemptError: the stream broke off, fell silent or lacks an event.
         """
@@ -112,7 +117,7 @@
         while (data := await self._next(chunks, limit)) is not None:
             events = splitter.feed(data)
             if events:
-                on_event()
+                on_event(len(events))
                 limit = self._pause_limit()
             await self._pass_on(answer, events)
         if splitter.rest.strip():
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -10,17 +10,29 @@
 from bluebellshore.backend.direct import DirectBackend
 from bluebellshore.decisions import DecisionLog, open_decision_log, silent_log
 from bluebellshore.entry.admission import Admission
+from bluebellshore.entry.attempt_lines import AttemptLines
 from bluebellshore.entry.budgets import CustomerBudgets
 from bluebellshore.entry.dispatch import Dispatcher
 from bluebellshore.entry.ingress import Ingress
 from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.measures import EntryMeasures
 from bluebellshore.entry.members import Members
+from bluebellshore.entry.metrics_port import MetricsPort
 from bluebellshore.entry.peers import Peers
 from bluebellshore.entry.settings import EntrySettings
+from bluebellshore.entry.suspects import SuspectLines
+from bluebellshore.entry.trace import RequestEnds
 from bluebellshore.entry.watch import StoreWatch
 from bluebellshore.errors import SettingsError
 from bluebellshore.fleet import BackendServer, Configuration
-from bluebellshore.ids import CustomerId, IncarnationId, InstanceId, Tokens, ZoneName
+from bluebellshore.ids import (
+    BackendServerId,
+    CustomerId,
+    IncarnationId,
+    InstanceId,
+    Tokens,
+    ZoneName,
+)
 from bluebellshore.platform.requests import ANSWER_HEADERS, backend_headers
 from bluebellshore.platform.settings import load_settings
 from bluebellshore.platform.store import PlatformStore
@@ -39,6 +51,8 @@
 STOP_RESERVE_SECONDS = 0.8
 POLL_SECONDS = 0.05
 TICK_SECONDS = 0.25
+#: Age that the configuration is shown with before the store first confirmed one.
+MAX_AGE_SECONDS = 1e6
 #: Share of the connections that a backend server accepts which routers use together.
 CONNECTIONS_SHARE = 0.85
 MIN_CONNECTIONS = 2
@@ -58,11 +72,14 @@
         *,
         incarnation: IncarnationId | None = None,
         log: DecisionLog | None = None,
+        measures: EntryMeasures | None = None,
     ):
         self.settings = settings or load_settings()
         self.address = self.settings.listen
         self.incarnation = incarnation or _new_incarnation(self.settings)
         self._log = log or silent_log()
+        self._measures = measures or EntryMeasures()
+        self._metrics_port: MetricsPort | None = None
         self.stopping = False
         self._tasks: list[asyncio.Task] = []
         self._ready_runner: web.ServerRunner | None = None
@@ -70,11 +87,14 @@
     async def start(self) -> None:
         """Begin to serve."""
         settings = self.settings
-        self._store = PlatformStore(settings.store_address)
+        self._store = PlatformStore(
+            settings.store_address, on_call=self._measures.store_called
+        )
         await self._store.open()
         self._knowledge = Knowledge(settings.server_lapse_seconds, self._log)
         self._watch = StoreWatch(self._store, self._knowledge, self._log)
         self._suspicion = Suspicion()
+        self._suspects = SuspectLines(self._suspicion, self._log)
         self._book = LoadBook(self._suspicion)
         instance_id = InstanceId(settings.instance_id)
         self._peers = Peers(
@@ -106,6 +126,8 @@
             peers=self._peers,
             store_time=lambda: self._store.time,
             incarnation=self.incarnation,
+            log=self._log,
+            measures=self._measures,
         )
         self._peers.lender = self._budgets.lender
         self._admission = Admission(
@@ -113,6 +135,7 @@
             self._book,
             Placer(self._book, ZoneName(settings.zone)),
             self._suspicion,
+            self._log,
         )
         self._dispatcher = Dispatcher(
             knowledge=self._knowledge,
@@ -124,14 +147,17 @@
             headers=backend_headers,
             retry_window=self._retry_window,
             routers=self._routers,
+            lines=AttemptLines(self._book, self._log, self._measures),
         )
         self._ingress = Ingress(
             self._knowledge,
             self._dispatcher.serve,
             memory_bytes=settings.memory_bytes,
+            ends=RequestEnds(self._log, self._measures),
         )
         await self._peers.start()
         await self._start_ready_port()
+        await self._start_metrics_port()
         self.address = await self._ingress.start(settings.listen)
         await self._budgets.open()
         self._knowledge.on_configuration = self._configured
@@ -167,6 +193,8 @@
         await self._store.close()
         if self._ready_runner is not None:
             await self._ready_runner.cleanup()
+        if self._metrics_port is not None:
+            await self._metrics_port.stop()
 
     def reload(self) -> None:
         """Read the settings file again; a bad one changes nothing."""
@@ -195,10 +223,31 @@
             "versions": self._knowledge.versions(),
             "store_lost": self._watch.lost,
             "active_requests": self._ingress.active,
+            "servers": {
+                server_id: self._server_state(server_id)
+                for server_id in self._knowledge.servers_by_id
+            },
+            "suspected": self._suspicion.left_out(),
+            "waiting_requests": self._admission.waiting,
+            "lines_left_out": self._log.left_out,
+            "lines_dropped": self._log.dropped,
             "peers": [peer.address for peer in self._peers.alive()],
             "budgets": self._budgets.snapshot(),
         }
 
+    def _server_state(self, server_id: BackendServerId) -> dict[str, Any]:
+        server = self._knowledge.servers_by_id[server_id]
+        view = self._book.view_of(server_id, time.monotonic())
+        return {
+            "service": server.service,
+            "state": server.state.value,
+            "version": server.version,
+            "address": server.address,
+            "slots": server.slots,
+            "running": view.running,
+            "oldest_report_seconds": view.oldest_seconds,
+        }
+
     async def _start_ready_port(self) -> None:
         if not self.settings.ready_listen:
             return
@@ -208,6 +257,36 @@
         await self._ready_runner.setup()
         await web.TCPSite(self._ready_runner, host, int(port)).start()
 
+    async def _start_metrics_port(self) -> None:
+        """Serve metrics; without the port requests are served all the same."""
+        if not self.settings.metrics_listen:
+            return
+        self._metrics_port = MetricsPort(
+            self._measures.registry, refresh=self._refresh, snapshot=self.snapshot
+        )
+        try:
+            await self._metrics_port.start(self.settings.metrics_listen)
+        except (OSError, ValueError) as error:
+            listen = self.settings.metrics_listen
+            self._log.notice("metrics", str(error), listen=listen)
+
+    def _refresh(self) -> None:
+        """Set the gauges."""
+        measures, knowledge = self._measures, self._knowledge
+        configuration = knowledge.configuration
+        measures.work(active=self._ingress.active, waiting=self._admission.waiting)
+        measures.view(
+            peers=len(self._peers.alive()),
+            servers=knowledge.count_ready(),
+            suspected=len(self._suspicion.left_out()),
+        )
+        measures.configuration(
+            0 if configuration is None else configuration.number,
+            min(self._watch.silent_seconds, MAX_AGE_SECONDS),
+        )
+        measures.store_lost(self._watch.lost)
+        measures.lines_lost(left_out=self._log.left_out, dropped=self._log.dropped)
+
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         ready = not self.stopping and self._knowledge.configuration is not None
         return web.Response(status=200 if ready else 503)
@@ -216,6 +295,7 @@
         """Follow what changed of the backend servers."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
+            self._suspects.look()
             # Entries that lapsed are dropped by time.
             self._knowledge.servers_of("", time.monotonic())
             renewed, self._knowledge.renewed = self._knowledge.renewed, []
--- a/bluebellshore/errors.py
+++ b/bluebellshore/errors.py
@@ -118,6 +118,7 @@
     :param status: HTTP status for the caller.
     :param run: whether the request is known not to have run.
     :param retry_after: seconds after which a retry may help; None when it cannot.
+    :param inputs: what decided it, for the log.
     """
 
     def __init__(
@@ -129,8 +130,10 @@
         status: int = 503,
         run: RunState = RunState.NOT_RUN,
         retry_after: float | None = None,
+        inputs: Mapping[str, object] | None = None,
     ):
         super().__init__(message, step=step, peer=peer)
+        self.inputs = inputs
         self.status = status
         self.run = run
         self.retry_after = retry_after
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from typing import NamedTuple, TypeVar
 from urllib.parse import quote
@@ -102,9 +102,17 @@
 
     :param address: ``host:port`` of the store.
     :param call_seconds: time allowed for one call.
+    :param on_call: told of each call: what it was, its result and its seconds.
     """
 
-    def __init__(self, address: str, *, call_seconds: float = CALL_SECONDS):
+    def __init__(
+        self,
+        address: str,
+        *,
+        call_seconds: float = CALL_SECONDS,
+        on_call: Callable[[str, str, float], None] = lambda call, result, seconds: None,
+    ):
+        self._on_call = on_call
         self._address = address
         self._call_seconds = call_seconds
         self._session: aiohttp.ClientSession | None = None
@@ -280,6 +288,7 @@
             url = url.with_query(query)
         sent = {"Content-Type": "application/json", **(headers or {})}
         self.calls += 1
+        began_at, result = time.monotonic(), "unanswered"
         try:
             async with (
                 asyncio.timeout(seconds or self._call_seconds),
@@ -287,12 +296,17 @@
                     method, url, data=body, headers=sent, allow_redirects=False
                 ) as response,
             ):
-                return _Reply(response.status, await response.read())
+                reply = _Reply(response.status, await response.read())
+                result = str(reply.status)
+                return reply
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
             raise PlatformUnavailableError(
                 reason, step=step, peer=self._address
             ) from error
+        finally:
+            seconds_taken = time.monotonic() - began_at
+            self._on_call(step.removeprefix("store."), result, seconds_taken)
 
     def _check_status(self, reply: _Reply, step: str) -> None:
         if 200 <= reply.status < 300:
--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -21,6 +21,7 @@
 __all__ = [
     "LoadBook",
     "LoadReport",
+    "LoadView",
     "PartSeen",
     "Result",
     "ServerLoad",
@@ -57,6 +58,20 @@
         self.held_tokens += sign * other.held_tokens
 
 
+class LoadView(msgspec.Struct, frozen=True):
+    """What a choice of a backend server rested on.
+
+    :param running: requests believed to run there.
+    :param youngest_seconds: age of the newest peer's report that counted, None for
+        none.
+    :param oldest_seconds: age of the oldest one.
+    """
+
+    running: int
+    youngest_seconds: float | None = None
+    oldest_seconds: float | None = None
+
+
 class PartSeen(msgspec.Struct, frozen=True):
     """A prompt part that a backend server has read."""
 
@@ -236,6 +251,19 @@
             total.held_tokens += load.held_tokens
         return total
 
+    def view_of(self, server_id: BackendServerId, now: float) -> LoadView:
+        """Return what is believed to run, and the ages of the reports on it."""
+        ages = [
+            now - received_at
+            for received_at, report in self._reports.values()
+            if server_id in report.loads_by_server
+            and now - received_at < REPORT_SECONDS
+        ]
+        running = self.load_of(server_id, now).running
+        if not ages:
+            return LoadView(running)
+        return LoadView(running, min(ages), max(ages))
+
     def cached_tokens(self, call: Call, server_id: BackendServerId) -> int:
         """Return the tokens of the prompt that a backend server seems to hold."""
         parts = self._parts_by_server.get(server_id)
--- a/bluebellshore/routing/repeats.py
+++ b/bluebellshore/routing/repeats.py
@@ -10,7 +10,7 @@
 from bluebellshore.backend import Outcome
 from bluebellshore.fleet import Call
 
-__all__ = ["Next", "next_step"]
+__all__ = ["MIN_LEFT_SECONDS", "Next", "next_step"]
 
 #: Connections that may fail one after another before a request is refused.
 MAX_UNREACHABLE = 4
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -120,6 +120,18 @@
         """Return the servers under suspicion, for metrics."""
         return [key for key, watch in self._watches.items() if watch.out]
 
+    def evidence(self, server_id: BackendServerId) -> dict[str, float]:
+        """Return what a server is judged by; counts fade with time."""
+        watch = self._watch(server_id)
+        return {
+            "good": round(watch.good, 2),
+            "bad": round(watch.bad, 2),
+            "lost_streak": watch.lost_streak,
+            "pending": watch.pending,
+            "streaming": watch.streaming,
+            "pause_seconds": watch.pause,
+        }
+
     def begin(
         self,
         ticket: _Ticket,
