Test the lines and counts that requests of an entry router leave

One request each that was answered, refused, sent again, lost, cut, left by its caller, and one that waited, through the real port with a fake backend and the log in memory. Conclusion: each ends in exactly one refused or ended line.

--- /dev/null
+++ b/tests/test_entry_requests.py
@@ -0,0 +1,343 @@
+"""Tests of the lines and counts that each request of an entry router leaves."""
+
+import asyncio
+import contextlib
+import unittest
+
+import aiohttp
+from prometheus_client import generate_latest
+
+from bluebellshore.backend import AttemptError
+from bluebellshore.backend import Outcome as AttemptOutcome
+from bluebellshore.decisions import DecisionLog
+from bluebellshore.entry.admission import Admission
+from bluebellshore.entry.attempt_lines import AttemptLines
+from bluebellshore.entry.dispatch import Dispatcher
+from bluebellshore.entry.ingress import Ingress
+from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.measures import EntryMeasures
+from bluebellshore.entry.metrics_port import MetricsPort
+from bluebellshore.entry.trace import RequestEnds, Trace
+from bluebellshore.fleet import RouteKind
+from bluebellshore.ids import IncarnationId, ZoneName
+from bluebellshore.platform.names import ATTEMPT_HEADER
+from bluebellshore.routing.load import LoadBook, LoadReport, ServerLoad
+from bluebellshore.routing.placement import Placer
+from bluebellshore.routing.retry_window import RetryWindow
+from bluebellshore.routing.suspicion import Suspicion
+from tests.entry_fixtures import configuration, route, server
+
+EVENT = b"id: %d\ndata: x\n\n"
+BROKEN = AttemptError(
+    "connection reset", step="test", peer="a", outcome=AttemptOutcome.UNKNOWN
+)
+REFUSED = AttemptError(
+    "busy", step="test", peer="a", outcome=AttemptOutcome.NOT_RUN, status=503
+)
+
+
+class FakeAnswer:
+    """An answer of chunks; an exception among them is raised, an event waited for."""
+
+    def __init__(self, chunks, status=200):
+        self.status = status
+        self.headers = []
+        self._chunks = chunks
+
+    async def chunks(self):
+        for chunk in self._chunks:
+            if isinstance(chunk, Exception):
+                raise chunk
+            if isinstance(chunk, asyncio.Event):
+                await chunk.wait()
+                continue
+            yield chunk
+
+
+class FakeBackend:
+    """Gives answers in turn; an exception in place of one is raised."""
+
+    def __init__(self):
+        self.answers = []
+
+    @contextlib.asynccontextmanager
+    async def send(self, server, request):
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        yield answer
+
+
+class FreeBudgets:
+    """Grants everything."""
+
+    async def reserve(self, customer, attempt_id, tokens, *, wait_seconds):
+        pass
+
+    def settle(self, attempt_id, tokens):
+        pass
+
+    def release(self, attempt_id):
+        pass
+
+
+class EntryCase(unittest.IsolatedAsyncioTestCase):
+    """A router's way of a request with a fake backend and lines in memory."""
+
+    kind = RouteKind.SAFE
+    changes: dict = {"anonymous": True}
+
+    async def asyncSetUp(self):
+        self.lines = []
+        self.log = DecisionLog(self.lines.append)
+        self.measures = EntryMeasures()
+        self.knowledge = Knowledge(2.0, self.log)
+        self.route = route(self.kind, **self.changes)
+        self.knowledge.configuration = configuration(self.route, number=7)
+        self.suspicion = Suspicion()
+        self.book = LoadBook(self.suspicion)
+        self.backend = FakeBackend()
+        self.admission = Admission(
+            self.knowledge,
+            self.book,
+            Placer(self.book, ZoneName("z")),
+            self.suspicion,
+            self.log,
+        )
+        dispatcher = Dispatcher(
+            knowledge=self.knowledge,
+            book=self.book,
+            admission=self.admission,
+            suspicion=self.suspicion,
+            backend=self.backend,
+            budgets=FreeBudgets(),
+            headers=lambda call, server, left, event_id: [],
+            retry_window=lambda: RetryWindow(1.0, 100.0, 10.0),
+            routers=lambda: 1,
+            lines=AttemptLines(self.book, self.log, self.measures),
+        )
+        self.ingress = Ingress(
+            self.knowledge,
+            dispatcher.serve,
+            memory_bytes=0,
+            ends=RequestEnds(self.log, self.measures),
+        )
+        self.address = await self.ingress.start("127.0.0.1:0")
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.ingress.close_port()
+        await self.ingress.stop(0.1)
+
+    def add_servers(self, *names):
+        for name in names:
+            self.knowledge.servers_by_id[name] = server(name)
+
+    def get(self, path="/a/b", host="api.example", **headers):
+        headers = {"Host": host, ATTEMPT_HEADER: "try-1"} | headers
+        return self.session.get(f"http://{self.address}{path}", headers=headers)
+
+    def kinds(self):
+        return [line["message_type"] for line in self.lines]
+
+    def line(self, kind):
+        found = [line for line in self.lines if line["message_type"] == kind]
+        self.assertEqual(len(found), 1, self.kinds())
+        return found[0]
+
+    def assert_shown(self, *samples):
+        text = generate_latest(self.measures.registry).decode()
+        for sample in samples:
+            self.assertIn(f"bluebellshore_{sample}\n", text)
+
+    async def until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class PlainRequestTest(EntryCase):
+    async def test_answered_request_leaves_admitted_placed_and_ended(self):
+        self.add_servers("a")
+        self.book.merge(
+            IncarnationId("peer"),
+            LoadReport({"a": ServerLoad(2)}),
+            asyncio.get_running_loop().time(),
+        )
+        self.backend.answers = [FakeAnswer([b"body"])]
+        async with self.get() as response:
+            self.assertEqual(await response.read(), b"body")
+        self.assertEqual(self.kinds(), ["admitted", "placed", "ended"])
+        self.assertEqual({line["request"] for line in self.lines}, {"try-1"})
+        admitted = self.line("admitted")
+        self.assertEqual((admitted["route"], admitted["configuration"]), ("r", 7))
+        placed = self.line("placed")
+        self.assertEqual((placed["server"], placed["candidates"]), ("a", 1))
+        self.assertEqual(placed["running"], 2)
+        self.assertGreaterEqual(placed["oldest_report_seconds"], 0.0)
+        ended = self.line("ended")
+        self.assertEqual((ended["status"], ended["outcome"]), (200, "answered"))
+        self.assertEqual((ended["attempts"], ended["server"]), (1, "a"))
+        self.assert_shown(
+            'requests_total{outcome="answered",route_kind="safe"} 1.0',
+            'attempts_total{result="answered"} 1.0',
+            "waiting_seconds_count 1.0",
+        )
+
+    async def test_request_without_server_leaves_one_refusal_with_its_inputs(self):
+        async with self.get() as response:
+            self.assertEqual(response.status, 503)
+        self.assertEqual(self.kinds(), ["admitted", "refused"])
+        refused = self.line("refused")
+        self.assertEqual((refused["step"], refused["status"]), ("admission", 503))
+        self.assertEqual(refused["run"], "not-run")
+        inputs = refused["inputs"]
+        self.assertEqual((inputs["listed"], inputs["usable"]), (0, 0))
+        self.assert_shown(
+            'refusals_total{reason="admission",status="503"} 1.0',
+            'requests_total{outcome="refused",route_kind="safe"} 1.0',
+        )
+
+    async def test_request_without_route_is_refused_and_was_not_admitted(self):
+        async with self.get(host="other.example") as response:
+            self.assertEqual(response.status, 404)
+        self.assertEqual(self.kinds(), ["refused"])
+        self.assertEqual(self.line("refused")["request"], "try-1")
+        self.assertEqual(self.line("refused")["configuration"], 7)
+
+    async def test_failed_attempt_is_sent_again_and_ends_once(self):
+        self.add_servers("a", "b")
+        self.backend.answers = [REFUSED, FakeAnswer([b"body"])]
+        async with self.get() as response:
+            self.assertEqual(response.status, 200)
+        self.assertEqual(
+            self.kinds(), ["admitted", "placed", "sent_again", "placed", "ended"]
+        )
+        again = self.line("sent_again")
+        self.assertEqual(again["reason"], "not-run: busy")
+        self.assertEqual(self.line("ended")["attempts"], 2)
+        self.assertNotEqual(self.line("ended")["server"], again["server"])
+
+    async def test_server_error_passed_on_ends_as_failed(self):
+        self.add_servers("a")
+        self.backend.answers = [FakeAnswer([b"no"], status=500)] * 2
+        async with self.get() as response:
+            self.assertEqual(response.status, 500)
+        self.assertEqual(self.line("ended")["outcome"], "failed")
+
+
+class UnsafeRequestTest(EntryCase):
+    kind = RouteKind.UNSAFE
+
+    async def test_lost_answer_of_a_purchase_says_why_it_is_not_sent_again(self):
+        self.add_servers("a")
+        self.backend.answers = [BROKEN]
+        async with self.get() as response:
+            self.assertEqual(response.status, 502)
+        self.assertEqual(self.kinds(), ["admitted", "placed", "given_up", "ended"])
+        self.assertEqual(self.line("given_up")["why"], "it may have run")
+        ended = self.line("ended")
+        self.assertEqual((ended["status"], ended["outcome"]), (502, "failed"))
+
+
+class StreamTest(EntryCase):
+    kind = RouteKind.STREAM
+    changes = {"anonymous": True, "gap_seconds": 1e-9}
+
+    async def test_whole_stream_ends_as_completed_with_its_events(self):
+        self.add_servers("a")
+        self.backend.answers = [FakeAnswer([EVENT % 1, EVENT % 2, EVENT % 3])]
+        async with self.get() as response:
+            await response.read()
+        ended = self.line("ended")
+        self.assertEqual((ended["outcome"], ended["events"]), ("completed", 3))
+        self.assertGreater(ended["longest_pause_seconds"], 0.0)
+        self.assertEqual(self.lines[2]["message_type"], "paused")
+        self.assertEqual(self.lines[2]["events"], 1)
+        self.assert_shown('first_event_seconds_count{route_kind="stream"} 1.0')
+
+    async def test_stream_that_breaks_off_ends_as_cut(self):
+        self.add_servers("a")
+        self.backend.answers = [FakeAnswer([EVENT % 1, BROKEN])]
+        with self.assertRaises(aiohttp.ClientError):
+            async with self.get() as response:
+                await response.read()
+        await self.until(lambda: "ended" in self.kinds())
+        self.assertEqual(self.kinds(), ["admitted", "placed", "given_up", "ended"])
+        given_up, ended = self.line("given_up"), self.line("ended")
+        self.assertEqual((given_up["server"], given_up["events"]), ("a", 1))
+        self.assertEqual((ended["outcome"], ended["status"]), ("cut", 200))
+        self.assert_shown(
+            'requests_total{outcome="cut",route_kind="stream"} 1.0',
+            'attempts_total{result="broken"} 1.0',
+        )
+
+    async def test_caller_that_leaves_ends_the_request_as_left(self):
+        self.add_servers("a")
+        never = asyncio.Event()
+        self.backend.answers = [FakeAnswer([EVENT % 1, never])]
+        response = await self.get()
+        await response.content.readline()
+        response.close()
+        await self.until(lambda: "ended" in self.kinds())
+        self.assertEqual(self.line("ended")["outcome"], "left")
+        self.assertNotIn("refused", self.kinds())
+        self.assert_shown('attempts_total{result="left"} 1.0')
+
+
+class QueueTest(EntryCase):
+    async def test_wait_for_a_place_is_told_once_it_is_over(self):
+        self.knowledge.servers_by_id["a"] = server("a", slots=1)
+        go = asyncio.Event()
+        self.backend.answers = [FakeAnswer([go, b"1"]), FakeAnswer([b"2"])]
+
+        async def ask():
+            async with self.get() as response:
+                return await response.read()
+
+        first = asyncio.create_task(ask())
+        await self.until(lambda: "placed" in self.kinds())
+        second = asyncio.create_task(ask())
+        await self.until(lambda: self.admission.waiting)
+        go.set()
+        self.assertEqual(await first, b"1")
+        self.assertEqual(await second, b"2")
+        waited = self.line("waited")
+        self.assertEqual(waited["reason"], "all backend servers are full")
+        self.assertEqual((waited["outcome"], waited["servers"]), ("placed", 1))
+        self.assertEqual(self.kinds().count("ended"), 2)
+
+
+class TraceTest(unittest.TestCase):
+    def test_only_pauses_that_grow_beyond_the_allowed_are_worth_a_line(self):
+        trace = Trace(0.0)
+        worth = [
+            trace.is_worth_a_line(pause, 0.1) for pause in (0.05, 0.2, 0.3, 0.5, 0.9)
+        ]
+        self.assertEqual(worth, [False, True, False, True, False])
+
+    def test_no_pause_is_worth_a_line_where_none_is_declared(self):
+        self.assertFalse(Trace(0.0).is_worth_a_line(9.0, 0.0))
+
+
+class MetricsPortTest(unittest.IsolatedAsyncioTestCase):
+    async def test_metrics_are_refreshed_and_the_state_is_json(self):
+        measures = EntryMeasures()
+        port = MetricsPort(
+            measures.registry,
+            refresh=lambda: measures.work(active=3, waiting=1),
+            snapshot=lambda: {"role": "entry", "peers": {1: ZoneName("z")}},
+        )
+        address = await port.start("127.0.0.1:0")
+        self.addAsyncCleanup(port.stop)
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f"http://{address}/metrics") as response:
+                text = await response.text()
+            async with session.get(f"http://{address}/state") as response:
+                state = await response.json()
+        self.assertIn("bluebellshore_requests_active 3.0", text)
+        self.assertEqual(state, {"role": "entry", "peers": {"1": "z"}})
+
+
+if __name__ == "__main__":
+    unittest.main()
