Leave in time when the store is out; give refusals without configuration their id

Refusals for want of a configuration had no request id, as the head was read after the check; loans that timed out had an empty reason; floats were written with 16 digits. Ruled out: a longer reserve, which would cut requests in flight on every stop for the sake of the few during an outage.

--- a/bluebellshore/decisions/lines.py
+++ b/bluebellshore/decisions/lines.py
@@ -14,6 +14,9 @@
 #: Least time between two counts of lines that were left out.
 REPORT_SECONDS = 1.0
 
+#: Digits that are written of a number, which is mostly a duration in seconds.
+DIGITS = 4
+
 Inputs = Mapping[str, object]
 
 
@@ -103,7 +106,7 @@
             line["request"] = request
         for name, value in fields.items():
             if value is not None:
-                line[name] = value
+                line[name] = round(value, DIGITS) if type(value) is float else value
         return line
 
     def _report_now_and_then(self, now: float) -> None:
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -269,6 +269,10 @@
                 await self._accountant.close()
         if self._borrower:
             await self._borrower.close(REPAID_SECONDS)
+        await self.abandon()
+
+    async def abandon(self) -> None:
+        """End all work without telling the store."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -126,14 +126,14 @@
     async def _forward(
         self, request: web.BaseRequest, sink: "_HttpSink", trace: Trace
     ) -> None:
+        head = RequestHead.decode(request.headers.items())
+        trace.request = head.attempt_id
         configuration = self._knowledge.configuration
         if configuration is None:
             raise OverloadError(
                 "no configuration is known yet", step="ingress", retry_after=0.5
             )
         trace.configuration = configuration.number
-        head = RequestHead.decode(request.headers.items())
-        trace.request = head.attempt_id
         call = admit(
             configuration,
             head,
--- a/bluebellshore/entry/loans.py
+++ b/bluebellshore/entry/loans.py
@@ -242,7 +242,8 @@
             async with asyncio.timeout(ASK_SECONDS):
                 lent = await self._peers.borrow(peer, loan)
         except (TimeoutError, BluebellshoreError) as error:
-            self._log.notice("loan", str(error), peer=peer, loan=loan.name)
+            reason = str(error) or type(error).__name__
+            self._log.notice("loan", reason, peer=peer, loan=loan.name)
             self.repay(peer, loan.name, Tokens(0))
             return Tokens(0)
         except asyncio.CancelledError:
@@ -257,6 +258,6 @@
                     await self._peers.repay(peer, name, tokens)
                 return
             except (TimeoutError, BluebellshoreError) as error:
-                reason = str(error)
+                reason = str(error) or type(error).__name__
             await asyncio.sleep(REPAY_SECONDS)
         self._log.notice("loan", reason, peer=peer, loan=name, not_repaid=tokens)
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -49,6 +49,8 @@
 LEAVE_SECONDS = 2.6
 #: Kept back from the time until SIGKILL, to settle and to end.
 STOP_RESERVE_SECONDS = 0.8
+#: Kept back from the time until SIGKILL, to close what is open here.
+LAST_SECONDS = 0.5
 POLL_SECONDS = 0.05
 TICK_SECONDS = 0.25
 #: Age that the configuration is shown with before the store first confirmed one.
@@ -173,17 +175,28 @@
     async def stop(self) -> None:
         """Leave without cutting a request that is in flight."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.settings.stop_seconds - STOP_RESERVE_SECONDS
+        began_at = loop.time()
+        last = began_at + self.settings.stop_seconds - LAST_SECONDS
+        end = began_at + self.settings.stop_seconds - STOP_RESERVE_SECONDS
         self.stopping = self._peers.leaving = True
         self._ingress.leaving = True
         await asyncio.sleep(LEAVE_SECONDS)
         await self._ingress.close_port()
         while self._ingress.active and loop.time() < end:
             await asyncio.sleep(POLL_SECONDS)
-        if self._ingress.active:
-            self._log.notice("stop", "no time left", unfinished=self._ingress.active)
-        await self._budgets.close()
-        await self._members.leave()
+        self._log.notice(
+            "stop",
+            "requests ended" if not self._ingress.active else "no time left",
+            seconds=round(loop.time() - began_at, 2),
+            unfinished=self._ingress.active,
+        )
+        try:
+            async with asyncio.timeout_at(last):
+                await self._budgets.close()
+                await self._members.leave()
+        except TimeoutError:
+            # With the store out, tokens can't be returned: the successor does it.
+            self._log.notice("stop", "the store took no leave", lost=self._watch.lost)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -195,6 +208,7 @@
             await self._ready_runner.cleanup()
         if self._metrics_port is not None:
             await self._metrics_port.stop()
+        await self._budgets.abandon()
 
     def reload(self) -> None:
         """Read the settings file again; a bad one changes nothing."""
