--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from bluebellshore import STARTED_AT
 from bluebellshore.backend.direct import DirectBackend
 from bluebellshore.decisions import DecisionLog, open_decision_log, silent_log
 from bluebellshore.entry.admission import Admission
@@ -127,6 +128,7 @@
             customers=self._customers,
             peers=self._peers,
             store_time=lambda: self._store.time,
+            started_at=STARTED_AT,
             incarnation=self.incarnation,
             log=self._log,
             measures=self._measures,
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -43,6 +43,8 @@
 class _Reply(NamedTuple):
     status: int
     body: bytes
+    #: Monotonic time of the call.
+    asked_seconds: float
 
 
 class _Row(msgspec.Struct, rename="camel"):
@@ -288,7 +290,7 @@
             url = url.with_query(query)
         sent = {"Content-Type": "application/json", **(headers or {})}
         self.calls += 1
-        began_at, result = time.monotonic(), "unanswered"
+        asked_at, result = time.monotonic(), "unanswered"
         try:
             async with (
                 asyncio.timeout(seconds or self._call_seconds),
@@ -296,7 +298,7 @@
                     method, url, data=body, headers=sent, allow_redirects=False
                 ) as response,
             ):
-                reply = _Reply(response.status, await response.read())
+                reply = _Reply(response.status, await response.read(), asked_at)
                 result = str(reply.status)
                 return reply
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -305,7 +307,7 @@
                 reason, step=step, peer=self._address
             ) from error
         finally:
-            seconds_taken = time.monotonic() - began_at
+            seconds_taken = time.monotonic() - asked_at
             self._on_call(step.removeprefix("store."), result, seconds_taken)
 
     def _check_status(self, reply: _Reply, step: str) -> None:
@@ -327,7 +329,7 @@
             ) from error
         shown = getattr(answer, "current_time_ms", None)
         if shown is not None:
-            self.time = StoreTime(shown / 1000, time.monotonic())
+            self.time = StoreTime(shown / 1000, time.monotonic(), reply.asked_seconds)
         return answer
 
     def _conflict(
