--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -50,7 +50,7 @@
 BURN_WINDOW_SECONDS = 4.0
 #: A row that shows a budget exhausted goes on to do so until its total is raised.
 TIMES = AccountantTimes(
-    settle=1.0, heartbeat=1.5, poll=0.1, look=1.0, cover=float("inf"), close=2.0
+    settle=0.6, heartbeat=1.0, poll=0.1, look=1.0, cover=float("inf"), close=2.0
 )
 #: Pause after a failure, before predecessors or budgets are tried again.
 RECOVER_SECONDS = 0.3
@@ -63,6 +63,8 @@
 #: Waits for tokens from the store: before other routers are asked first, and again.
 FIRST_WAIT_SECONDS = 0.03
 NEXT_WAIT_SECONDS = 0.15
+#: Least pause between two tries.
+PAUSE_SECONDS = 0.01
 #: After which a refused request may find tokens that others hold now.
 RETRY_AFTER_SECONDS = 0.5
 
@@ -334,7 +336,7 @@
     async def _reserve(self, opened: _Open, wait_seconds: float) -> None:
         """Reserve from the allotment, or with loans when that is not to be had."""
         deadline = self._clock() + wait_seconds
-        wait = FIRST_WAIT_SECONDS
+        wait = 0.0 if self._accountant.platform_out else FIRST_WAIT_SECONDS
         while True:
             left = max(0.0, deadline - self._clock())
             if self._borrower is None:
@@ -353,12 +355,13 @@
                 certain = (
                     isinstance(error, InsufficientBudgetError) and not error.retry_after
                 )
-                if certain or self.fenced or self._borrower is None:
+                if certain or self._borrower is None or self._accountant.ended:
                     raise
                 if await self._borrow(opened):
                     return
                 if self._clock() >= deadline:
                     raise
+            await asyncio.sleep(PAUSE_SECONDS)
             wait = NEXT_WAIT_SECONDS
 
     async def _borrow(self, opened: _Open) -> bool:
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -7,6 +7,7 @@
 from bluebellshore.routing.parts import HeldParts
 from bluebellshore.routing.results import Result
 from bluebellshore.routing.speed import FirstEventSample, SpeedBook
+from bluebellshore.routing.suspicion import Suspicion
 from tests.routing_calls import ENGINES, PLAIN, call, servers
 
 
@@ -83,6 +84,16 @@
         self.book.forget([self.server.server_id])
         self.assertEqual(self.book.cached_tokens(request, self.server.server_id), 0)
 
+    def test_nothing_is_kept_of_servers_that_are_gone(self):
+        book = LoadBook(Suspicion())
+        for number, server in enumerate(servers(200)):
+            ticket = book.begin(call(("a", 1000)), server, number)
+            book.forget([server.server_id])
+            book.first_event(ticket, number + 0.1)
+            book.end(ticket, Result.ANSWERED, number + 0.5)
+        self.assertEqual(book.report().loads_by_server, {})
+        self.assertEqual(book.known_servers, 0)
+
     def test_failed_attempts_teach_no_speed(self):
         for i in range(50):
             ticket = self.book.begin(call((f"p{i}", 1000)), self.server, i)
@@ -134,6 +145,15 @@
         self.assertEqual(self.speeds.slowness("engines", "s1", 1.0), 1.0)
         self.assertEqual(self.speeds.slowness("engines", "s0", 60.0), 1.0)
 
+    def test_none_is_slow_while_all_are_crowded(self):
+        for i in range(80):
+            tokens = 200 + (i * 791) % 8000
+            self.note(f"s{i % 8}", tokens, 0.03 + tokens / 50_000)
+        for i in range(80):
+            factor = 9.0 if i % 8 == 0 else 3.0
+            self.note(f"s{i % 8}", 1000, factor * 0.05, now=1.0, ahead=1)
+        self.assertEqual(self.speeds.slowness("engines", "s0", 1.5), 1.0)
+
     def test_first_events_behind_others_teach_no_speed(self):
         for i in range(60):
             tokens = 200 + (i * 791) % 8000
