Answer 503 without a configuration whatever the head; test a whole router's port

The id is now read on its own, so that malformed requests have it in the log too. Ruled out: decoding twice.

--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -13,7 +13,11 @@
 from bluebellshore.entry.trace import RequestEnds, Trace
 from bluebellshore.errors import OverloadError, RefusedError, RequestError
 from bluebellshore.fleet import Call
-from bluebellshore.platform.requests import CONNECTION_HEADERS, RequestHead
+from bluebellshore.platform.requests import (
+    CONNECTION_HEADERS,
+    RequestHead,
+    attempt_id_of,
+)
 
 __all__ = ["Ingress"]
 
@@ -126,14 +130,14 @@
     async def _forward(
         self, request: web.BaseRequest, sink: "_HttpSink", trace: Trace
     ) -> None:
-        head = RequestHead.decode(request.headers.items())
-        trace.request = head.attempt_id
+        trace.request = attempt_id_of(request.headers)
         configuration = self._knowledge.configuration
         if configuration is None:
             raise OverloadError(
                 "no configuration is known yet", step="ingress", retry_after=0.5
             )
         trace.configuration = configuration.number
+        head = RequestHead.decode(request.headers.items())
         call = admit(
             configuration,
             head,
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -67,6 +67,7 @@
     """Serves callers of the users' platform.
 
     :ivar address: ``host:port`` of the callers' port.
+    :ivar operator_address: that of metrics and state; empty for none.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self._log = log or silent_log()
         self._measures = measures or EntryMeasures()
         self._metrics_port: MetricsPort | None = None
+        self.operator_address = ""
         self.stopping = False
         self._tasks: list[asyncio.Task] = []
         self._ready_runner: web.ServerRunner | None = None
@@ -281,7 +283,9 @@
             self._measures.registry, refresh=self._refresh, snapshot=self.snapshot
         )
         try:
-            await self._metrics_port.start(self.settings.metrics_listen)
+            self.operator_address = await self._metrics_port.start(
+                self.settings.metrics_listen
+            )
         except (OSError, ValueError) as error:
             listen = self.settings.metrics_listen
             self._log.notice("metrics", str(error), listen=listen)
--- a/bluebellshore/platform/requests.py
+++ b/bluebellshore/platform/requests.py
@@ -1,6 +1,6 @@
 """Decodes the heads of callers' requests, and encodes those to backend servers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -24,7 +24,7 @@
     TOKENS_HEADER,
 )
 
-__all__ = ["ANSWER_HEADERS", "RequestHead", "backend_headers"]
+__all__ = ["ANSWER_HEADERS", "RequestHead", "attempt_id_of", "backend_headers"]
 
 STEP = "request.decode"
 #: Headers, in lower case, that concern one connection only.
@@ -45,11 +45,21 @@
     }
 )
 LEAST_URGENT = 9
+#: Characters of an id in the log; those of callers have 16.
+MAX_LOGGED_ID = 128
 
 
 ANSWER_HEADERS = AnswerHeaders(ATTEMPT_HEADER, NOT_RUN_HEADER, SIGNATURE_HEADER)
 
 
+def attempt_id_of(headers: Mapping[str, str]) -> str:
+    """Return the id that a request gives its attempt, for the log.
+
+    :param headers: looked up in any case; they may be malformed.
+    """
+    return headers.get(ATTEMPT_HEADER, "")[:MAX_LOGGED_ID]
+
+
 class RequestHead(msgspec.Struct):
     """What the head of a caller's request says.
 
--- /dev/null
+++ b/tests/test_entry_router.py
@@ -0,0 +1,139 @@
+"""Tests of a whole entry router without its store: metrics, state, lines, stop."""
+
+import unittest
+from unittest import mock
+
+import aiohttp
+
+from bluebellshore.decisions import DecisionLog
+from bluebellshore.entry import router
+from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.peers import Peers
+from bluebellshore.entry.settings import EntrySettings
+from bluebellshore.entry.suspects import SuspectLines
+from bluebellshore.ids import IncarnationId
+from bluebellshore.routing.load import LoadBook
+from bluebellshore.routing.results import Result
+from bluebellshore.routing.suspicion import Suspicion
+from tests.entry_fixtures import server
+
+
+def settings_without_store(**changes):
+    """Return settings whose store refuses all connections."""
+    values = {
+        "instance_id": "i",
+        "zone": "z",
+        "listen": "127.0.0.1:0",
+        "ready_listen": "",
+        "store_address": "127.0.0.1:1",
+        "stop_seconds": 1.0,
+        "metrics_listen": "127.0.0.1:0",
+    }
+    return EntrySettings(**(values | changes))
+
+
+class RouterTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **changes):
+        lines = []
+        patch = mock.patch.object(router, "LEAVE_SECONDS", 0.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+        settings = settings_without_store(**changes)
+        entry = router.EntryRouter(settings, log=DecisionLog(lines.append))
+        await entry.start()
+        self.addAsyncCleanup(entry.stop)
+        return entry, lines
+
+    async def test_running_router_serves_its_metrics_and_state(self):
+        entry, _ = await self.start()
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f"http://{entry.address}/a") as response:
+                self.assertEqual(response.status, 503)
+            base = f"http://{entry.operator_address}"
+            async with session.get(f"{base}/metrics") as response:
+                text = await response.text()
+            async with session.get(f"{base}/state") as response:
+                state = await response.json()
+        for sample in (
+            "configuration_number 0.0",
+            "store_lost 1.0",
+            'refusals_total{reason="ingress",status="503"} 1.0',
+        ):
+            self.assertIn(f"bluebellshore_{sample}\n", text)
+        self.assertEqual((state["configuration"], state["peers"]), (None, []))
+        self.assertEqual(state["incarnation"], entry.incarnation)
+
+    async def test_router_serves_without_its_metrics_when_the_port_is_taken(self):
+        entry, _ = await self.start()
+        second, lines = await self.start(metrics_listen=entry.operator_address)
+        self.assertEqual(second.operator_address, "")
+        subjects = [line.get("subject") for line in lines]
+        self.assertIn("metrics", subjects)
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{second.address}/a") as response,
+        ):
+            self.assertEqual(response.status, 503)
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_router_without_store_leaves_before_it_is_killed_and_says_so(self):
+        lines = []
+        settings = settings_without_store()
+        with mock.patch.object(router, "LEAVE_SECONDS", 0.0):
+            entry = router.EntryRouter(settings, log=DecisionLog(lines.append))
+            await entry.start()
+            await entry.stop()
+        stops = [line["reason"] for line in lines if line.get("subject") == "stop"]
+        self.assertEqual(stops, ["requests ended", "the store took no leave"])
+        self.assertEqual(entry.snapshot()["active_requests"], 0)
+
+
+class PeerLinesTest(unittest.TestCase):
+    def test_peer_is_lost_when_silent_and_regained_with_its_next_sign(self):
+        lines = []
+        peers = Peers(
+            address="me:1",
+            seeds=("other:1",),
+            instance_id="i",
+            incarnation=IncarnationId("i.1"),
+            knowledge=Knowledge(2.0),
+            book=LoadBook(),
+            store_lost=lambda: False,
+            log=DecisionLog(lines.append),
+        )
+        peer = peers.peers_by_address["other:1"]
+        clock = mock.Mock(return_value=100.0)
+        with mock.patch("bluebellshore.entry.peers.time.monotonic", clock):
+            peers._seen(peer, "other.1")
+            peers._seen(peer, "other.1")
+            peers._note_lost(101.0)
+            clock.return_value = 103.0
+            peers._note_lost(103.0)
+            peers._note_lost(104.0)
+            peers._seen(peer, "other.2")
+        contacts = [(line["contact"], line["alive"]) for line in lines]
+        self.assertEqual(contacts, [("regained", 1), ("lost", 0), ("regained", 1)])
+        self.assertEqual(lines[1]["silent_seconds"], 3.0)
+
+
+class SuspectLinesTest(unittest.TestCase):
+    def test_each_change_is_written_once_with_what_it_rests_on(self):
+        lines = []
+        suspicion = Suspicion()
+        suspects = SuspectLines(suspicion, DecisionLog(lines.append))
+        both = [server("a"), server("b")]
+        for now in (1.0, 1.1, 1.2):
+            suspicion.record("a", Result.UNREACHABLE, 0.0, now)
+        suspicion.usable(both, 1.3)
+        suspects.look()
+        suspects.look()
+        suspicion.renew("a")
+        suspects.look()
+        told = [(line["server"], line["belief"]) for line in lines]
+        self.assertEqual(told, [("a", "suspected"), ("a", "trusted")])
+        self.assertEqual(lines[0]["inputs"]["lost_streak"], 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
