Write log lines in pieces of 8 KiB at most, as collectors may keep no more

Each gap followed 8192 bytes of one write. Ruled out: the rate limits (no left_out line), the buffer (no lines_dropped), requests without an end in the code. The test fails with the old size.

--- a/bluebellshore/decisions/writer.py
+++ b/bluebellshore/decisions/writer.py
@@ -17,8 +17,9 @@
 
 #: Bytes that may wait to be written; about 3000 lines.
 BUFFER_BYTES = 1024 * 1024
-#: Bytes of one write; the capacity of a Linux pipe.
-CHUNK_BYTES = 65_536
+#: Bytes of one write, unless a line is longer. A collector was seen to keep 8192 bytes
+#: of each write and to lose the rest, in a run of the platform's days.
+CHUNK_BYTES = 8192
 #: Time that lines are gathered: one wake-up and one write for all of them.
 GATHER_SECONDS = 0.1
 #: Least time between two counts of dropped lines.
@@ -161,9 +162,11 @@
         chunk: list[bytes] = []
         size = 0
         with self._lock:
-            while self._lines and (not chunk or size < CHUNK_BYTES):
+            while self._lines:
+                size += len(self._lines[0])
+                if chunk and size > CHUNK_BYTES:
+                    break
                 chunk.append(self._lines.popleft())
-                size += len(chunk[-1])
         return chunk
 
     def _write(self, chunk: list[bytes]) -> int:
--- a/tests/test_decisions_writer.py
+++ b/tests/test_decisions_writer.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import unittest
+from unittest import mock
 
 import eliot
 
@@ -38,6 +39,25 @@
         self.read_end, self.write_end = os.pipe()
         self.addCleanup(os.close, self.write_end)
 
+    def test_no_write_is_longer_than_collectors_keep_unless_its_line_is(self):
+        sizes = []
+        write = os.write
+
+        def note(descriptor: int, data: memoryview) -> int:
+            sizes.append(len(data))
+            return write(descriptor, data)
+
+        with mock.patch("bluebellshore.decisions.writer.os.write", note):
+            writer = LineWriter(self.write_end, FIELDS)
+            for number in range(200):
+                writer({"message_type": "m", "n": number, "text": "x" * 300})
+            writer({"message_type": "m", "n": 200, "text": "x" * 20_000})
+            lines = self.take_all(writer)
+        self.assertEqual([line["n"] for line in lines], list(range(201)))
+        long = [size for size in sizes if size > 8192]
+        self.assertEqual(len(long), 1)
+        self.assertGreater(long[0], 20_000)
+
     def take_all(self, writer: LineWriter) -> list[dict]:
         """Read while the writer closes."""
         lines: list[dict] = []
