--- a/bluebellshore/routing/speed.py
+++ b/bluebellshore/routing/speed.py
@@ -7,6 +7,7 @@
 
 import statistics
 from collections import deque
+from collections.abc import Mapping
 
 import msgspec
 
@@ -34,6 +35,10 @@
 RATIOS = 9
 LEAST_RATIOS = 3
 RATIO_SECONDS = 4.0
+#: Observed against expected time, and least time, above which an attempt hung: that
+#: says nothing of the speed; :mod:`bluebellshore.routing.suspicion` counts it.
+HUNG_RATIO = 6.0
+HUNG_LEAST_SECONDS = 1.0
 #: Servers are compared at most this often, in seconds.
 COMPARE_SECONDS = 0.2
 #: Observed against expected time of most servers above which none is called slow: all
@@ -111,6 +116,8 @@
         expected = self.seconds(
             sample.service, sample.read_tokens + sample.ahead_tokens
         )
+        if sample.seconds > max(HUNG_LEAST_SECONDS, HUNG_RATIO * expected):
+            return
         if expected > 0:
             by_server = self._ratios.setdefault(sample.service, {})
             ratios = by_server.setdefault(sample.server_id, deque(maxlen=RATIOS))
@@ -135,11 +142,17 @@
         self, service: ServiceName, server_id: BackendServerId, now: float
     ) -> float:
         """Return how many times slower a server is than its peers, at least 1."""
+        return self.slow_servers(service, now).get(server_id, 1.0)
+
+    def slow_servers(
+        self, service: ServiceName, now: float
+    ) -> Mapping[BackendServerId, float]:
+        """Return the slowness of the servers that are slower than their peers."""
         compared_at, slowness_by_server = self._slowness.get(service, (-1.0, {}))
         if now - compared_at > COMPARE_SECONDS or compared_at < 0:
             slowness_by_server = self._compare(service, now)
             self._slowness[service] = (now, slowness_by_server)
-        return slowness_by_server.get(server_id, 1.0)
+        return slowness_by_server
 
     def forget(self, server_id: BackendServerId) -> None:
         """Drop what was learned of a server that is gone or began anew."""
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -7,19 +7,15 @@
 
 import heapq
 from collections.abc import Callable, Mapping, Sequence
-from typing import NewType
 
 import msgspec
 
 from bluebellshore.fleet import BackendServer
 from bluebellshore.ids import BackendServerId, ServiceName
-from bluebellshore.routing.results import Result, ResultCounts
+from bluebellshore.routing.results import Result, ResultCounts, Ticket
 
 __all__ = ["Suspicion"]
 
-#: Same type as a ticket of :class:`bluebellshore.routing.load.LoadBook`.
-_Ticket = NewType("_Ticket", int)
-
 #: Time in which counts of results halve, in seconds.
 HALF_LIFE_SECONDS = 2.0
 #: Share of a service that may be left out at once.
@@ -94,17 +90,17 @@
 
     Every method takes `now` in monotonic seconds.
 
-    :ivar slowness: returns how many times slower a server of a service is than its
-        peers; a :class:`bluebellshore.routing.load.LoadBook` sets it.
+    :ivar slow_servers: returns how many times slower servers of a service are than
+        their peers; a :class:`bluebellshore.routing.load.LoadBook` sets it.
     """
 
     def __init__(self) -> None:
-        self.slowness: Callable[[ServiceName, BackendServerId, float], float] = (
-            lambda service, server_id, now: 1.0
-        )
+        self.slow_servers: Callable[
+            [ServiceName, float], Mapping[BackendServerId, float]
+        ] = lambda service, now: {}
         self._watches: dict[BackendServerId, _Watch] = {}
-        self._pending: dict[_Ticket, _Pending] = {}
-        self._due: list[tuple[float, _Ticket]] = []
+        self._pending: dict[Ticket, _Pending] = {}
+        self._due: list[tuple[float, Ticket]] = []
         self._new: dict[BackendServerId, ResultCounts] = {}
         self._sees_progress = False
 
@@ -117,7 +113,15 @@
         come back first.
         """
         self._count_overdue(now)
-        suspects = [s for s in servers if self._is_suspect(s, servers, now)]
+        slow = self.slow_servers(servers[0].service, now) if servers else {}
+        suspects = [
+            s
+            for s in servers
+            if slow.get(s.server_id, 1.0) > SLOW_LIMIT
+            or (s.server_id in self._watches and self._is_suspect(s, servers, now))
+        ]
+        if not suspects:
+            return list(servers)
         room = int(len(servers) * MOST_LEFT_OUT)
         if len(suspects) > room:
             suspects.sort(key=lambda s: self._watch(s.server_id).until, reverse=True)
@@ -143,7 +147,7 @@
 
     def begin(
         self,
-        ticket: _Ticket,
+        ticket: Ticket,
         server_id: BackendServerId,
         expected_seconds: float,
         now: float,
@@ -158,7 +162,7 @@
             watch.probed_at = now
             watch.probing.add(ticket)
 
-    def event(self, ticket: _Ticket, now: float) -> None:
+    def event(self, ticket: Ticket, now: float) -> None:
         """Note an event of an attempt.
 
         Only a further event shows that the server lives: the end of an attempt that
@@ -180,7 +184,7 @@
                 self._note_life(watch, pending, ticket, now)
 
     def _note_life(
-        self, watch: _Watch, pending: _Pending, ticket: _Ticket, now: float
+        self, watch: _Watch, pending: _Pending, ticket: Ticket, now: float
     ) -> None:
         """Take an event of a server that is left out as a probe's answer.
 
@@ -193,7 +197,7 @@
             watch.until = min(watch.until, now)
             watch.pause = FIRST_PAUSE_SECONDS
 
-    def forget(self, ticket: _Ticket) -> None:
+    def forget(self, ticket: Ticket) -> None:
         """Stop watching an attempt; its result is recorded apart."""
         pending = self._pending.pop(ticket, None)
         if pending is not None:
@@ -288,11 +292,7 @@
     def _is_suspect(
         self, server: BackendServer, servers: Sequence[BackendServer], now: float
     ) -> bool:
-        if self.slowness(server.service, server.server_id, now) > SLOW_LIMIT:
-            return True
-        watch = self._watches.get(server.server_id)
-        if watch is None:
-            return False
+        watch = self._watches[server.server_id]
         if not watch.out and self._has_failed(watch, server, servers, now):
             watch.out = True
             watch.until = now + watch.pause
