--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store: its tables and objects."""
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 from urllib.parse import quote
@@ -72,6 +72,7 @@
     :param call_seconds: time allowed for one call.
     :param row_bytes: bytes of a row's value that the store takes.
     :param local_host: address from which calls are made; empty for any.
+    :param on_call: told of each call: what it was, its result and its seconds.
     """
 
     def __init__(
@@ -81,8 +82,11 @@
         call_seconds: float = CALL_SECONDS,
         row_bytes: int = MAX_ROW_BYTES,
         local_host: str = "",
+        on_call: Callable[[str, str, float], None] | None = None,
     ):
         self._calls = StoreCalls(address, call_seconds, local_host)
+        if on_call is not None:
+            self._calls.on_call = on_call
         self._object_seconds = max(OBJECT_SECONDS, call_seconds)
         self._row_bytes = row_bytes
 
--- a/bluebellshore/platform/store_calls.py
+++ b/bluebellshore/platform/store_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple, TypeVar
 
@@ -36,9 +37,11 @@
     :param address: ``host:port`` of the store, or its base URL.
     :param call_seconds: time allowed for one call.
     :param local_host: address from which calls are made; empty for any.
+    :ivar on_call: told of each call: what it was, its result and its seconds.
     """
 
     def __init__(self, address: str, call_seconds: float, local_host: str = ""):
+        self.on_call: Callable[[str, str, float], None] = lambda *told: None
         self.address = address
         self.count = 0
         #: What the store's clock showed in its newest answer; None before one.
@@ -88,7 +91,7 @@
         if query:
             url = url.with_query(query)
         self.count += 1
-        asked_at = time.monotonic()
+        asked_at, result = time.monotonic(), "unanswered"
         try:
             async with (
                 asyncio.timeout(seconds or self._call_seconds),
@@ -96,10 +99,15 @@
                     method, url, data=body, headers=headers, allow_redirects=False
                 ) as response,
             ):
-                return Reply(response.status, await response.read(), asked_at)
+                reply = Reply(response.status, await response.read(), asked_at)
+                result = str(reply.status)
+                return reply
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
             raise self.unavailable(reason, step) from error
+        finally:
+            taken_seconds = time.monotonic() - asked_at
+            self.on_call(step.removeprefix("store."), result, taken_seconds)
 
     def check(self, reply: Reply, step: str) -> None:
         """Raise unless the status is a success.
