Refuse requests that crash backend servers; test what is sent again

Cause: a request that crashes each server that runs it came again through any router; the ledger of crashes was built and not used. The dispatcher notes broken connections and unreachable servers, peers tell of crashes, a request that was there at two is refused as not run; one that survives is cleared. Tests of repeats, refusals, resumed and broken streams at the caller's port with a fake backend (9).

--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -23,6 +23,7 @@
 from bluebellshore.errors import OverloadError, RefusedError, RunState
 from bluebellshore.fleet import BackendServer, Call, RouteKind
 from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
+from bluebellshore.routing.crashing import CrashLedger
 from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.repeats import Next, next_step
 from bluebellshore.routing.results import Result
@@ -32,6 +33,9 @@
 __all__ = ["Budgets", "Dispatcher", "fingerprint_of"]
 
 RETRY_AFTER_SECONDS = 0.5
+#: After which a request that crashes backend servers may come again; it is refused for
+#: longer, so this keeps its caller from trying at once.
+CRASHING_RETRY_SECONDS = 30.0
 #: Longest wait for tokens of a prepaid budget, as a part of the objective.
 BUDGET_WAIT_SHARE = 0.5
 #: Part of the time left that a request which may be repeated gives its first try, and
@@ -101,6 +105,7 @@
         retry_window: Callable[[], RetryWindow],
         routers: Callable[[], int],
         lines: AttemptLines | None = None,
+        crashes: CrashLedger | None = None,
     ):
         self._lines = lines or AttemptLines(book)
         self._knowledge = knowledge
@@ -113,6 +118,8 @@
         self._make_retry_window = retry_window
         self._routers = routers
         self._retries_by_service: dict[ServiceName, RetryWindow] = {}
+        #: Tells the requests that crash backend servers; peers add what they saw.
+        self.crashes = CrashLedger() if crashes is None else crashes
         self.active = 0
 
     async def serve(self, call: Call, sink: Sink, trace: Trace) -> None:
@@ -123,6 +130,7 @@
             its answer broke off.
         """
         progress = _Progress(trace)
+        self._refuse_crashing(call)
         self.active += 1
         try:
             async with asyncio.timeout_at(call.deadline), self._budget(call, progress):
@@ -132,6 +140,27 @@
         finally:
             self.active -= 1
 
+    def _refuse_crashing(self, call: Call) -> None:
+        """Refuse a request after which backend servers crashed.
+
+        :raises OverloadError: it did.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.crashes and self.crashes.blames(fingerprint_of(call), now):
+            raise OverloadError(
+                "backend servers crashed with this request",
+                step="dispatch.crashes",
+                retry_after=CRASHING_RETRY_SECONDS,
+            )
+
+    def _note_crash(
+        self, call: Call, server: BackendServer, error: AttemptError, now: float
+    ) -> None:
+        if error.reset and error.outcome is Outcome.UNKNOWN:
+            self.crashes.broke(server.server_id, fingerprint_of(call), now)
+        elif error.outcome is Outcome.NOT_SENT and not error.timed_out:
+            self.crashes.unreachable(server.server_id, now)
+
     @contextlib.asynccontextmanager
     async def _budget(self, call: Call, progress: _Progress) -> AsyncIterator[None]:
         """Hold the most that a call can cost, then charge what it did cost."""
@@ -265,8 +294,11 @@
             progress.sends += 1
             progress.may_have_run = True
             result = Result.FAILED if answer.status >= 500 else Result.ANSWERED
+            if self.crashes:
+                self.crashes.survived(fingerprint_of(call))
         except AttemptError as error:
             result = _result_of(error)
+            self._note_crash(call, server, error, loop.time())
             raise
         finally:
             now = loop.time()
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -20,6 +20,7 @@
     PartId,
     Tokens,
 )
+from bluebellshore.routing.crashing import CrashLedger, CrashSeen
 from bluebellshore.routing.load import LoadBook, LoadReport, PartSeen, ServerLoad
 from bluebellshore.routing.results import ResultCounts
 from bluebellshore.store import Row, TableChange
@@ -89,6 +90,7 @@
         incarnation: IncarnationId,
         knowledge: Knowledge,
         book: LoadBook,
+        crashes: CrashLedger | None = None,
         store_lost: Callable[[], bool],
         log: DecisionLog | None = None,
     ):
@@ -98,6 +100,7 @@
         self._incarnation = incarnation
         self._knowledge = knowledge
         self._book = book
+        self._crashes = CrashLedger() if crashes is None else crashes
         self._store_lost = store_lost
         self._server: grpc.aio.Server | None = None
         self._channels: dict[str, grpc.aio.Channel] = {}
@@ -163,6 +166,13 @@
             self._seen(peer, request.incarnation)
             peer.instance_id = InstanceId(request.instance_id)
             peer.leaving = request.leaving
+        self._crashes.merge(
+            (
+                CrashSeen(BackendServerId(seen.server), tuple(seen.fingerprints))
+                for seen in request.crashes
+            ),
+            time.monotonic(),
+        )
         report = _report_of(request)
         now = time.monotonic()
         self._book.merge(IncarnationId(request.incarnation), report, now)
@@ -260,6 +270,8 @@
                 parts=[part.part_id for part in parts],
                 tokens=[part.tokens for part in parts],
             )
+        for crash in self._crashes.report():
+            state.crashes.add(server=crash.server_id, fingerprints=crash.fingerprints)
         for server_id, counts in report.results_by_server.items():
             state.results.add(
                 server=server_id, good=counts.good, bad=counts.bad, lost=counts.lost
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -37,6 +37,7 @@
 from bluebellshore.platform.requests import ANSWER_HEADERS, backend_headers
 from bluebellshore.platform.settings import load_settings
 from bluebellshore.platform.store import PlatformStore
+from bluebellshore.routing.crashing import CrashLedger
 from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.placement import Placer
 from bluebellshore.routing.retry_window import RetryWindow
@@ -101,6 +102,7 @@
         self._suspicion = Suspicion()
         self._suspects = SuspectLines(self._suspicion, self._log)
         self._book = LoadBook(self._suspicion)
+        self._crashes = CrashLedger()
         instance_id = InstanceId(settings.instance_id)
         self._peers = Peers(
             address=settings.peer_listen,
@@ -109,6 +111,7 @@
             incarnation=self.incarnation,
             knowledge=self._knowledge,
             book=self._book,
+            crashes=self._crashes,
             store_lost=lambda: self._watch.lost,
             log=self._log,
         )
@@ -146,6 +149,7 @@
         self._dispatcher = Dispatcher(
             knowledge=self._knowledge,
             book=self._book,
+            crashes=self._crashes,
             admission=self._admission,
             suspicion=self._suspicion,
             backend=self._backend,
--- a/bluebellshore/routing/crashing.py
+++ b/bluebellshore/routing/crashing.py
@@ -53,6 +53,9 @@
     def __init__(self) -> None:
         self._crashes: list[_Crash] = []
 
+    def __len__(self) -> int:
+        return len(self._crashes)
+
     def broke(self, server_id: BackendServerId, fingerprint: str, now: float) -> None:
         """Note that the connection of an attempt broke before its answer's end."""
         crash = self._crash(server_id, now)
--- /dev/null
+++ b/tests/test_entry_dispatch.py
@@ -0,0 +1,106 @@
+"""Tests of what an entry router sends, sends again and refuses."""
+
+import aiohttp
+
+from bluebellshore.backend import AttemptError, Outcome
+from bluebellshore.fleet import RouteKind
+from tests.test_entry_requests import EVENT, EntryCase, FakeAnswer
+
+
+def failure(outcome: Outcome, **changes: object) -> AttemptError:
+    return AttemptError("failed", step="test", peer="a", outcome=outcome, **changes)
+
+
+class SafeTest(EntryCase):
+    async def test_lost_answer_is_asked_for_once_more(self) -> None:
+        self.add_servers("a", "b")
+        lost = failure(Outcome.UNKNOWN, reset=True)
+        self.backend.answers = [lost, FakeAnswer([b"ok"])]
+        async with self.get() as response:
+            self.assertEqual((response.status, await response.read()), (200, b"ok"))
+
+    async def test_no_more_servers_than_the_route_allows(self) -> None:
+        self.add_servers("a", "b", "c")
+        lost = [failure(Outcome.UNKNOWN) for _ in range(3)]
+        self.backend.answers = [*lost, FakeAnswer([b"ok"])]
+        async with self.get() as response:
+            self.assertEqual(response.status, 502)
+        self.assertEqual(len(self.backend.answers), 2)
+
+    async def test_answer_that_breaks_off_never_looks_whole(self) -> None:
+        self.add_servers("a", "b")
+        broken = FakeAnswer([b"half", failure(Outcome.UNKNOWN)])
+        self.backend.answers = [broken, FakeAnswer([b"whole"])]
+        async with self.get() as response:
+            self.assertEqual(await response.read(), b"whole")
+
+    async def test_request_that_crashes_servers_is_refused(self) -> None:
+        self.add_servers("a", "b", "c", "d")
+        crash = failure(Outcome.UNKNOWN, reset=True)
+        self.backend.answers = [crash, crash]
+        async with self.get() as response:
+            self.assertEqual(response.status, 502)
+        # A broken connection is a crash once its server can't be reached.
+        for name in ("a", "b", "c", "d"):
+            self.crashes.unreachable(name, self.now())
+        self.backend.answers = [FakeAnswer([b"not reached"])]
+        async with self.get() as response:
+            self.assertEqual(response.status, 503)
+        self.assertEqual(len(self.backend.answers), 1)
+        async with self.get("/a/other") as response:
+            self.assertEqual(response.status, 200)
+
+
+class UnsafeTest(EntryCase):
+    kind = RouteKind.UNSAFE
+    changes = {"anonymous": True, "max_attempts": 1}
+
+    async def test_lost_answer_promises_nothing_and_is_not_asked_for_again(self):
+        self.add_servers("a", "b")
+        self.backend.answers = [failure(Outcome.UNKNOWN, reset=True), FakeAnswer([b""])]
+        async with self.get() as response:
+            self.assertEqual(response.status, 502)
+        self.assertEqual(len(self.backend.answers), 1)
+
+    async def test_refusal_of_the_server_is_passed_on_as_not_run(self) -> None:
+        self.add_servers("a", "b")
+        self.backend.answers = [failure(Outcome.NOT_RUN, status=503), FakeAnswer([])]
+        async with self.get() as response:
+            self.assertEqual(response.status, 503)
+            self.assertIn("Retry-After", response.headers)
+
+    async def test_server_that_was_not_reached_is_replaced_by_another(self) -> None:
+        self.add_servers("a", "b", "c")
+        away = [failure(Outcome.NOT_SENT), failure(Outcome.MISDIRECTED, status=421)]
+        self.backend.answers = [*away, FakeAnswer([b"ok"])]
+        async with self.get() as response:
+            self.assertEqual((response.status, await response.read()), (200, b"ok"))
+
+
+class StreamTest(EntryCase):
+    kind = RouteKind.STREAM
+    changes = {"anonymous": True, "max_attempts": 1}
+
+    async def test_broken_stream_is_broken_off_towards_the_caller(self) -> None:
+        self.add_servers("a", "b")
+        broken = FakeAnswer([EVENT % 1, failure(Outcome.UNKNOWN)])
+        self.backend.answers = [broken, FakeAnswer([EVENT % 2])]
+        with self.assertRaises(aiohttp.ClientError):
+            async with self.get() as response:
+                await response.read()
+        self.assertEqual(len(self.backend.answers), 1)
+
+
+class ResumableStreamTest(EntryCase):
+    kind = RouteKind.STREAM
+    changes = {"anonymous": True, "max_attempts": 2, "resumable": True}
+
+    async def test_stream_goes_on_elsewhere_without_a_gap_or_a_repeat(self) -> None:
+        self.add_servers("a", "b")
+        cut = EVENT % 3
+        broken = FakeAnswer([EVENT % 1 + EVENT % 2 + cut[:4], failure(Outcome.UNKNOWN)])
+        rest = FakeAnswer([EVENT % 2, EVENT % 3 + EVENT % 4])
+        self.backend.answers = [broken, rest]
+        async with self.get() as response:
+            body = await response.read()
+        self.assertEqual(body, b"".join(EVENT % number for number in (1, 2, 3, 4)))
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -21,6 +21,7 @@
 from bluebellshore.fleet import RouteKind
 from bluebellshore.ids import IncarnationId, ZoneName
 from bluebellshore.platform.names import ATTEMPT_HEADER, DEADLINE_HEADER
+from bluebellshore.routing.crashing import CrashLedger
 from bluebellshore.routing.load import LoadBook, LoadReport, ServerLoad
 from bluebellshore.routing.placement import Placer
 from bluebellshore.routing.retry_window import RetryWindow
@@ -104,6 +105,7 @@
             self.suspicion,
             self.log,
         )
+        self.crashes = CrashLedger()
         dispatcher = Dispatcher(
             knowledge=self.knowledge,
             book=self.book,
@@ -115,6 +117,7 @@
             retry_window=lambda: RetryWindow(1.0, 100.0, 10.0),
             routers=lambda: 1,
             lines=AttemptLines(self.book, self.log, self.measures),
+            crashes=self.crashes,
         )
         self.ingress = Ingress(
             self.knowledge,
@@ -130,6 +133,9 @@
         await self.ingress.close_port()
         await self.ingress.stop(0.1)
 
+    def now(self):
+        return asyncio.get_running_loop().time()
+
     def add_servers(self, *names):
         for name in names:
             self.knowledge.servers_by_id[name] = server(name)
