--- /dev/null
+++ b/bluebellshore/entry/rollout_messages.py
@@ -0,0 +1,71 @@
+"""Reports of rollouts as messages between routers."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from bluebellshore.ids import BackendServerId, RouteName
+from bluebellshore.rollouts import Counts, Key, RolloutReport, RolloutState
+from bluebellshore.wire import peer_pb2 as pb
+
+__all__ = ["read_reports", "write_reports"]
+
+_PROGRESS = {
+    RolloutState.IN_PROGRESS: pb.ROLLOUT_PROGRESS_OPEN,
+    RolloutState.COMPLETED: pb.ROLLOUT_PROGRESS_COMPLETED,
+    RolloutState.ROLLED_BACK: pb.ROLLOUT_PROGRESS_ROLLED_BACK,
+}
+_STATES = {progress: state for state, progress in _PROGRESS.items()}
+
+
+def write_reports(reports: Iterable[RolloutReport], state: pb.PeerState) -> None:
+    """Add reports to what a peer is told."""
+    for report in reports:
+        message = state.rollouts.add(
+            service=report.service,
+            order=report.order,
+            age_seconds=report.age,
+            share=report.share,
+            running=report.running,
+            progress=_PROGRESS[report.state],
+            bad=report.bad,
+            exposed=report.exposed,
+            requests=report.requests,
+        )
+        for key, counts in report.counts_by_key.items():
+            message.evidence.add(
+                route=key.route,
+                server=key.server,
+                target=key.target,
+                sent=counts.sent,
+                ended=counts.ended,
+                failed=counts.failed,
+                first=counts.first,
+                gap=counts.gap,
+            )
+
+
+def read_reports(state: pb.PeerState) -> list[RolloutReport]:
+    """Return the reports that a peer tells."""
+    return [
+        RolloutReport(
+            service=message.service,
+            order=message.order,
+            age=message.age_seconds,
+            share=message.share,
+            running=message.running,
+            state=_STATES.get(message.progress, RolloutState.IN_PROGRESS),
+            bad=message.bad,
+            exposed=message.exposed,
+            requests=message.requests,
+            counts_by_key=dict(_counts(item) for item in message.evidence),
+        )
+        for message in state.rollouts
+    ]
+
+
+def _counts(item: pb.PeerEvidence) -> tuple[Key, Counts]:
+    key = Key(RouteName(item.route), BackendServerId(item.server), item.target)
+    counts = Counts(
+        item.sent, item.ended, item.failed, Counter(item.first), Counter(item.gap)
+    )
+    return key, counts
--- a/bluebellshore/moves/judge.py
+++ b/bluebellshore/moves/judge.py
@@ -23,6 +23,8 @@
     "Opinion",
     "assess",
     "assess_latest",
+    "binomial_tail",
+    "wilson_upper",
 ]
 
 #: Spans of time that are judged: short ones for what breaks suddenly, long ones for
--- /dev/null
+++ b/bluebellshore/rollouts/judge.py
@@ -0,0 +1,185 @@
+"""Judges a target version against the others on the same routes at the same time."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from bluebellshore.ids import RouteName
+from bluebellshore.moves.judge import (
+    Assessment,
+    Opinion,
+    binomial_tail,
+    wilson_upper,
+)
+from bluebellshore.rollouts.evidence import (
+    BUCKETS_PER_DOUBLING,
+    LAST_BUCKET,
+    Counts,
+    Evidence,
+    Key,
+    bound_of,
+)
+
+__all__ = ["assess", "overdue_seconds"]
+
+#: Spans that are judged: what breaks suddenly shows in the short one, small
+#: differences in the whole order.
+SPANS_SECONDS: tuple[float | None, ...] = (3.0, 10.0, None)
+#: Largest probability of the evidence under a good version that counts as bad. It is
+#: looked at several times a second for each route.
+BAD_PROBABILITY = 1e-4
+DOUBTFUL_PROBABILITY = 1e-2
+#: Rate of failures and of slow answers that is allowed beyond the other versions'.
+FAILED_MARGIN = 0.03
+SLOW_MARGIN = 0.06
+#: Answers up to this much slower are the server's speed, its cold cache or its load.
+SLOW_DOUBLINGS = 1
+#: Answers of the other versions without which there is nothing to compare with.
+LEAST_OTHERS = 12
+#: Failures of one server that count beyond twice those of all others: the trouble of
+#: one server is not the version's.
+ONE_SERVER = 3
+#: An attempt without an event is counted as slow beyond what this share of the others'
+#: attempts took, and what is allowed on top.
+OVERDUE_QUANTILE = 0.95
+
+
+def assess(evidence: Evidence, now: float) -> Assessment:
+    """Return what the evidence so far says about the target version."""
+    whole = evidence.span(now, None)
+    found = Assessment(Opinion.GOOD)
+    for seconds in SPANS_SECONDS:
+        span = whole if seconds is None else evidence.span(now, seconds)
+        routes: list[RouteName | None] = [None, *_routes(span)]
+        for route in routes:
+            opinion = _assess_route(route, span, whole)
+            if opinion.opinion is Opinion.BAD:
+                return opinion
+            if opinion.opinion is Opinion.DOUBTFUL:
+                found = opinion
+    return found
+
+
+def overdue_seconds(evidence: Evidence, now: float) -> dict[RouteName, float]:
+    """Return the time after which an attempt of a route counts as slow."""
+    times: dict[RouteName, Counter[int]] = {}
+    for key, counts in evidence.span(now, None).items():
+        if not key.target:
+            times.setdefault(key.route, Counter()).update(counts.first)
+    shift = SLOW_DOUBLINGS * BUCKETS_PER_DOUBLING + 1
+    return {
+        route: bound_of(_quantile(counts, OVERDUE_QUANTILE) + shift)
+        for route, counts in times.items()
+        if counts.total() >= LEAST_OTHERS
+    }
+
+
+def _quantile(counts: Counter[int], part: float) -> int:
+    wanted = part * counts.total()
+    below = 0
+    for bucket in sorted(counts):
+        below += counts[bucket]
+        if below >= wanted:
+            break
+    return bucket
+
+
+def _routes(counts_by_key: Iterable[Key]) -> list[RouteName]:
+    return sorted({key.route for key in counts_by_key if key.target})
+
+
+def _assess_route(
+    route: RouteName | None, span: dict[Key, Counts], whole: dict[Key, Counts]
+) -> Assessment:
+    """Judge one route, or by failures alone all of them together."""
+    target = _select(span, route, target=True)
+    others = [
+        _sum(_select(span, route, target=False)),
+        _sum(_select(whole, route, target=False)),
+    ]
+    found = [_assess_failures(target, others)]
+    if route is not None:
+        found.append(_assess_slow("first", target, others))
+        found.append(_assess_slow("gap", target, others))
+    worst = max(found, key=lambda item: _RANK[item.opinion])
+    if worst.opinion is Opinion.GOOD:
+        return worst
+    return Assessment(worst.opinion, f"{route or 'all routes'}: {worst.reason}")
+
+
+_RANK = {Opinion.GOOD: 0, Opinion.DOUBTFUL: 1, Opinion.BAD: 2}
+
+
+def _select(
+    counts_by_key: dict[Key, Counts], route: RouteName | None, *, target: bool
+) -> list[Counts]:
+    """Return the counts of each server."""
+    by_server: dict[str, Counts] = {}
+    for key, counts in counts_by_key.items():
+        if key.target is target and route in (None, key.route):
+            by_server.setdefault(key.server, Counts()).add(counts)
+    return list(by_server.values())
+
+
+def _sum(parts: list[Counts]) -> Counts:
+    total = Counts()
+    for part in parts:
+        total.add(part)
+    return total
+
+
+def _usual(others: list[tuple[int, int]]) -> float | None:
+    """Return the highest rate that the others show, now or since the order.
+
+    While the target version has most of the traffic, the others are idle and faster
+    than usual; while the whole fleet is in trouble, they are in it too.
+    """
+    known = [wilson_upper(bad, all_) for bad, all_ in others if all_ >= LEAST_OTHERS]
+    return max(known, default=None)
+
+
+def _opinion(bad_by_server: list[tuple[int, int]], rate: float) -> Opinion:
+    """Judge the target version's bad answers by server, against a rate."""
+    total = sum(all_ for _, all_ in bad_by_server)
+    bad = sum(bad for bad, _ in bad_by_server)
+    if sum(1 for _, all_ in bad_by_server if all_) > 1:
+        worst = max(bad for bad, _ in bad_by_server)
+        dropped = max(0, bad - (2 * (bad - worst) + ONE_SERVER))
+        bad, total = bad - dropped, total - dropped
+    probability = binomial_tail(bad, total, rate)
+    if probability < BAD_PROBABILITY:
+        return Opinion.BAD
+    return Opinion.DOUBTFUL if probability < DOUBTFUL_PROBABILITY else Opinion.GOOD
+
+
+def _assess_failures(target: list[Counts], others: list[Counts]) -> Assessment:
+    rate = _usual([(other.failed, other.ended) for other in others])
+    if rate is None:
+        return Assessment(Opinion.GOOD)
+    counts = [(part.failed, part.ended) for part in target]
+    total = _sum(target)
+    reason = f"{total.failed} of {total.ended} failed, others {rate:.3f} at most"
+    return Assessment(_opinion(counts, rate + FAILED_MARGIN), reason)
+
+
+def _assess_slow(name: str, target: list[Counts], others: list[Counts]) -> Assessment:
+    """Compare times with those of the others, made longer by what is allowed."""
+    found = Assessment(Opinion.GOOD)
+    shift = SLOW_DOUBLINGS * BUCKETS_PER_DOUBLING
+    times = [getattr(part, name) for part in target]
+    usual = [getattr(other, name) for other in others]
+    lowest = min((min(t) for t in times if t), default=LAST_BUCKET)
+    for bucket in range(max(0, lowest - shift - 1), LAST_BUCKET - shift + 1):
+        rate = _usual([(_above(u, bucket), u.total()) for u in usual])
+        if rate is None:
+            return found
+        counts = [(_above(t, bucket + shift), t.total()) for t in times]
+        opinion = _opinion(counts, rate + SLOW_MARGIN)
+        if _RANK[opinion] > _RANK[found.opinion]:
+            slow = sum(bad for bad, _ in counts)
+            total = sum(all_ for _, all_ in counts)
+            found = Assessment(opinion, f"{slow} of {total} slow by {name} time")
+    return found
+
+
+def _above(counts: Counter[int], bucket: int) -> int:
+    return sum(count for index, count in counts.items() if index > bucket)
--- /dev/null
+++ b/bluebellshore/rollouts/plan.py
@@ -0,0 +1,146 @@
+"""Share of a service's requests that a target version gets while it is tried."""
+
+import msgspec
+
+from bluebellshore.moves.judge import Opinion
+
+__all__ = ["SharePlan", "Situation", "late"]
+
+#: Share before the rate of requests is known.
+FIRST_SHARE = 0.02
+#: Time in which the rate of requests is learned.
+LEARN_SECONDS = 1.0
+#: Shares on the way to all, besides the first one.
+STEPS = (0.25, 0.5, 1.0)
+#: Part of the order's time by which all traffic has moved; the rest is for writing.
+FINISH_PART = 0.75
+#: Part of the order's time, and least seconds, kept for going back.
+RESERVE_PART = 0.08
+RESERVE_SECONDS = 1.0
+#: Part of the allowed exposure that is used at all, for the first share and for one
+#: step: the rest goes to answers that are under way when badness shows.
+USED_PART = 0.85
+FIRST_PART = 0.3
+STEP_PART = 0.14
+#: Bounds of the time of one step. Peers hear of a verdict in about half a second.
+STEP_SECONDS = (0.8, 3.0)
+#: Time with all traffic moved until the completion is written, and the part of it
+#: for which there must be exposure left to stay there.
+FULL_SECONDS = 1.8
+REACTION_SECONDS = 0.5
+#: Most of the first share, for services with few requests.
+MOST_FIRST_SHARE = 0.25
+#: Requests are expected to go on at this part of their rate.
+EXPECTED_PART = 0.8
+#: Answers of the target version without which its share stays low.
+LEAST_RESULTS = 20
+
+
+class Situation(msgspec.Struct, frozen=True):
+    """What is known of an order at a moment.
+
+    :param age: seconds since the order.
+    :param seconds: time that the order gives.
+    :param exposed: requests that the target version got from the whole fleet.
+    :param requests: requests that the service got since the order.
+    :param results: answers of the target version that were counted.
+    :param may_finish: whether the completion could be written.
+    """
+
+    age: float
+    seconds: float
+    exposed: int
+    requests: int
+    results: int
+    opinion: Opinion
+    exposure_share: float
+    exposure_extra: float
+    may_finish: bool = True
+
+    @property
+    def rate(self) -> float:
+        """Requests a second."""
+        return self.requests / max(self.age, LEARN_SECONDS)
+
+    @property
+    def allowed(self) -> float:
+        """Requests that the target version may get before it is decided."""
+        left = max(0.0, self.seconds - self.age)
+        expected = self.requests + EXPECTED_PART * self.rate * left
+        allowed = self.exposure_share * expected + self.exposure_extra
+        return USED_PART * allowed
+
+
+def late(situation: Situation) -> bool:
+    """Return whether it is time to go back."""
+    reserve = max(RESERVE_SECONDS, RESERVE_PART * situation.seconds)
+    return situation.age >= situation.seconds - reserve
+
+
+class SharePlan:
+    """Raises the share in steps, never past the exposure that is allowed."""
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self._step = -1
+        self._since = 0.0
+
+    def update(self, situation: Situation) -> float:
+        """Return the share from now on."""
+        if situation.opinion is Opinion.BAD or late(situation):
+            self.share = 0.0
+            return 0.0
+        if self._may_advance(situation):
+            self._step += 1
+            self._since = situation.age
+        if not self._has_room(situation, self._share(situation), REACTION_SECONDS):
+            # The completion did not come in time: back to few, as after a failure.
+            self._step = -1
+            self._since = situation.age
+        share = self._share(situation)
+        room = self._has_room(situation, share, REACTION_SECONDS)
+        self.share = share if room else 0.0
+        return self.share
+
+    def _share(self, situation: Situation) -> float:
+        if self._step >= 0:
+            return STEPS[self._step]
+        if situation.age < LEARN_SECONDS or not situation.requests:
+            return FIRST_SHARE
+        seconds = max(LEARN_SECONDS, _ramp_at(situation))
+        share = FIRST_PART * situation.allowed / (situation.rate * seconds)
+        return min(MOST_FIRST_SHARE, share)
+
+    def _may_advance(self, situation: Situation) -> bool:
+        if self._step + 1 >= len(STEPS):
+            return False
+        if situation.opinion is not Opinion.GOOD or situation.results < LEAST_RESULTS:
+            return False
+        if self._step < 0:
+            if situation.age < _ramp_at(situation):
+                return False
+        elif situation.age < self._since + _step_seconds(situation):
+            return False
+        share = STEPS[self._step + 1]
+        if share < 1.0:
+            return self._has_room(situation, share, _step_seconds(situation))
+        room = self._has_room(situation, share, FULL_SECONDS)
+        return room and situation.may_finish
+
+    @staticmethod
+    def _has_room(situation: Situation, share: float, seconds: float) -> bool:
+        more = share * situation.rate * seconds
+        return situation.exposed + more <= situation.allowed
+
+
+def _step_seconds(situation: Situation) -> float:
+    least, most = STEP_SECONDS
+    if not situation.requests:
+        return least
+    return min(most, max(least, STEP_PART * situation.allowed / situation.rate))
+
+
+def _ramp_at(situation: Situation) -> float:
+    """Return the age at which the share begins to rise."""
+    steps = (len(STEPS) - 1) * _step_seconds(situation)
+    return FINISH_PART * situation.seconds - steps - FULL_SECONDS
