--- a/bluebellshore/budget/policy.py
+++ b/bluebellshore/budget/policy.py
@@ -1,6 +1,7 @@
 """Policies for the size of allotments."""
 
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -24,6 +25,8 @@
 FIXED_TOKENS = Tokens(20_000)
 GRANT_SHARE = 0.1
 HORIZON_SHARE = 0.8
+#: Share of the rest that all routers together hold ahead of use: in an outage they
+#: lend it to each other, and caps bound what a kill loses of it.
 STANDBY_SHARE = 0.6
 #: Parts of the target below which tokens are drawn and above which they go back.
 STANDBY_REFILL = 0.75
@@ -160,6 +163,7 @@
     A router that has not served a customer yet can so ride out an outage too.
 
     :param standby_share: share of the rest that all holders together hold unused.
+    :param routers: number of routers known; all may come to hold tokens.
     """
 
     def __init__(
@@ -167,12 +171,15 @@
         horizon_seconds: float,
         share: float = HORIZON_SHARE,
         standby_share: float = STANDBY_SHARE,
+        routers: Callable[[], int] = lambda: 1,
     ):
         super().__init__(horizon_seconds, share, idle_seconds=math.inf)
+        self._routers = routers
         self._standby_share = standby_share
 
     def _target(self, view: AllotmentView) -> int:
-        standby = int(self._standby_share * view.rest / max(1, view.holders))
+        holders = max(view.holders, self._routers())
+        standby = int(self._standby_share * view.rest / holders)
         return max(standby, super()._target(view))
 
     def grant(self, view: AllotmentView) -> Tokens:
