Filter candidates and count attempts by rollout orders in the entry router

Cause: orders took no effect on where requests go. Ruled out: a lease for the writer; the record is written on the versions read, so any router may write it.

--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.errors import OverloadError
 from bluebellshore.fleet import Call
 from bluebellshore.ids import BackendServerId, ServiceName
@@ -51,11 +52,13 @@
         book: LoadBook,
         placer: Placer,
         suspicion: Suspicion,
+        rollouts: Rollouts,
     ):
         self._knowledge = knowledge
         self._book = book
         self._placer = placer
         self._suspicion = suspicion
+        self._rollouts = rollouts
         self._queues: dict[ServiceName, WaitingQueue] = {}
         self._waiting: dict[str, _Waiting] = {}
 
@@ -168,6 +171,7 @@
         now: float,
     ) -> Place | Wait | Refuse:
         servers = self._knowledge.servers_of(service, now)
+        servers = self._rollouts.candidates(call, servers, now)
         usable = self._suspicion.usable(servers, now)
         decision = self._placer.place(call, usable, now, tried)
         if isinstance(decision, Refuse) and tried:
--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -19,9 +19,11 @@
 from bluebellshore.entry.admission import Admission, Admitted
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
+from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.errors import OverloadError, RefusedError, RunState
 from bluebellshore.fleet import BackendServer, Call, RouteKind
 from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
+from bluebellshore.rollouts import Attempt
 from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.repeats import Next, next_step
 from bluebellshore.routing.results import Result
@@ -71,6 +73,7 @@
         self.may_have_run = False
         self.tried: set[BackendServerId] = set()
         self.relay: StreamRelay | None = None
+        self.attempt: Attempt | None = None
 
     @property
     def began(self) -> bool:
@@ -92,6 +95,7 @@
         book: LoadBook,
         admission: Admission,
         suspicion: Suspicion,
+        rollouts: Rollouts,
         backend: Backend,
         budgets: Budgets,
         headers: Callable[[Call, BackendServer, float, str], list[tuple[str, str]]],
@@ -102,6 +106,7 @@
         self._book = book
         self._admission = admission
         self._suspicion = suspicion
+        self._rollouts = rollouts
         self._backend = backend
         self._budgets = budgets
         self._headers = headers
@@ -247,6 +252,8 @@
         loop = asyncio.get_running_loop()
         server, ticket = admitted.place.server, admitted.ticket
         result, first_seconds = Result.LEFT, 0.0
+        attempt = self._rollouts.begin(call, server, loop.time())
+        progress.attempt = attempt
         try:
             request = self._request(call, server, progress, loop.time())
             async with self._backend.send(server, request) as answer:
@@ -263,6 +270,7 @@
                 first_seconds = self._book.first_event(ticket, now)
             self._book.end(ticket, result, now, self._output_tokens(call, progress))
             self._suspicion.record(server.server_id, result, first_seconds, now)
+            self._rollouts.end(server.service, attempt, result, now)
             if result is Result.LEFT:
                 progress.may_have_run = True
 
@@ -310,6 +318,7 @@
         def on_event() -> None:
             nonlocal began
             now = loop.time()
+            progress.attempt.event(now)
             if not began:
                 began = True
                 self._book.first_event(admitted.ticket, now)
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -11,6 +11,8 @@
 
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.loans import Lender, Loan
+from bluebellshore.entry.rollout_messages import read_reports, write_reports
+from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.errors import LinkError
 from bluebellshore.ids import (
     BackendServerId,
@@ -99,6 +101,8 @@
         self.leaving = False
         #: Lends tokens of this router; None until budgets are open.
         self.lender: Lender | None = None
+        #: Takes and gives what routers tell of rollouts; None until it is set.
+        self.rollouts: Rollouts | None = None
         self.meet(seeds)
 
     def meet(self, addresses: list[str] | tuple[str, ...]) -> None:
@@ -138,6 +142,7 @@
             report = self._book.report()
             busy = report.loads_by_server or report.parts or report.results_by_server
             busy = busy or self._store_lost()
+            busy = busy or (self.rollouts is not None and self.rollouts.busy)
             if not busy and now - quiet_since < QUIET_SECONDS:
                 continue
             quiet_since = now
@@ -159,6 +164,9 @@
         report = _report_of(request)
         now = time.monotonic()
         self._book.merge(IncarnationId(request.incarnation), report, now)
+        if self.rollouts is not None:
+            peer_id = IncarnationId(request.incarnation)
+            self.rollouts.merge(peer_id, read_reports(request))
         reply = pb.PeerReply(incarnation=self._incarnation)
         reply.peers.extend(other.address for other in self.alive())
         if request.store_lost:
@@ -171,6 +179,11 @@
         """Return the incarnations that gave a sign lately."""
         return [peer.incarnation for peer in self.alive() if peer.incarnation]
 
+    def serving(self) -> list[IncarnationId]:
+        """Return the incarnations that gave a sign lately and aren't leaving."""
+        alive = [peer for peer in self.alive() if not peer.leaving]
+        return [peer.incarnation for peer in alive if peer.incarnation]
+
     async def borrow(self, peer: IncarnationId, loan: Loan) -> Tokens:
         """Have a router lend tokens.
 
@@ -257,6 +270,8 @@
             state.results.add(
                 server=server_id, good=counts.good, bad=counts.bad, lost=counts.lost
             )
+        if self.rollouts is not None:
+            write_reports(self.rollouts.reports(), state)
         state.peers.extend(peer.address for peer in self.alive())
         return state
 
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -16,6 +16,7 @@
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.members import Members
 from bluebellshore.entry.peers import Peers
+from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.entry.settings import EntrySettings
 from bluebellshore.entry.watch import StoreWatch
 from bluebellshore.errors import SettingsError
@@ -24,6 +25,7 @@
 from bluebellshore.platform.requests import ANSWER_HEADERS, backend_headers
 from bluebellshore.platform.settings import load_settings
 from bluebellshore.platform.store import PlatformStore
+from bluebellshore.rollouts import Exposure
 from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.placement import Placer
 from bluebellshore.routing.retry_window import RetryWindow
@@ -103,17 +105,29 @@
             incarnation=self.incarnation,
         )
         self._peers.lender = self._budgets.lender
+        self._rollouts = Rollouts(
+            self._knowledge,
+            self._store,
+            self.incarnation,
+            Exposure(settings.exposure_share, settings.exposure_extra),
+            peers=self._peers.serving,
+            store_lost=lambda: self._watch.lost,
+            store_seconds=self._store_seconds,
+        )
+        self._peers.rollouts = self._rollouts
         self._admission = Admission(
             self._knowledge,
             self._book,
             Placer(self._book, ZoneName(settings.zone)),
             self._suspicion,
+            self._rollouts,
         )
         self._dispatcher = Dispatcher(
             knowledge=self._knowledge,
             book=self._book,
             admission=self._admission,
             suspicion=self._suspicion,
+            rollouts=self._rollouts,
             backend=self._backend,
             budgets=self._budgets,
             headers=backend_headers,
@@ -135,6 +149,7 @@
             self._peers.run(),
             self._members.run(),
             self._admission.run(),
+            self._rollouts.run(),
             self._tick(),
         )
         self._tasks = [asyncio.create_task(loop) for loop in loops]
@@ -225,6 +240,12 @@
         configuration = self._knowledge.configuration
         return [] if configuration is None else list(configuration.customers_by_id)
 
+    def _store_seconds(self) -> float | None:
+        shown = self._store.time
+        if shown is None:
+            return None
+        return shown.store_seconds + time.monotonic() - shown.local_seconds
+
     def _routers(self) -> int:
         return max(1 + len(self._peers.alive()), self._members.listed)
 
