Judge slowness over all routes together; try rare routes with a larger share

Cause: one route's answers were too few to tell 40 % slow ones at 4 times the usual time, and a route with a tenth of the requests got too few to judge. Ruled out: finer spans (the same few answers); lost merges (counts at one router equal the sum). Conclusion: the version is watched longer with all traffic; not measured yet.

--- a/bluebellshore/entry/rollouts.py
+++ b/bluebellshore/entry/rollouts.py
@@ -137,7 +137,7 @@
         track = self.track(service, now)
         seen_at = self._see_versions(service, servers, now)
         if track is not None:
-            return track.candidates(call.attempt_id, servers)
+            return track.candidates(call, servers)
         known = [s for s in servers if now - seen_at[s.version] >= NEWCOMER_SECONDS]
         return known or list(servers)
 
@@ -145,11 +145,12 @@
         """Count an attempt that is sent."""
         track = self.track(server.service, now)
         warm = server.warmup_seconds <= 0.0
+        has_prompt = call.route.has_prompt
         if track is None or track.state.decided:
-            return Attempt(call.attempt_id, None, 0, now, warm)
+            return Attempt(call.attempt_id, None, 0, now, warm, has_prompt)
         target = server.version == track.order.target
         key = Key(call.route.name, server.server_id, target)
-        attempt = Attempt(call.attempt_id, key, track.version, now, warm)
+        attempt = Attempt(call.attempt_id, key, track.version, now, warm, has_prompt)
         track.begin(attempt, now)
         return attempt
 
--- a/bluebellshore/rollouts/attempt.py
+++ b/bluebellshore/rollouts/attempt.py
@@ -9,6 +9,9 @@
 
 #: Events of a stream from which its mean pause counts.
 LEAST_EVENTS = 4
+#: First events of prompts at the target version may take this much longer: the others
+#: hold parts of prompts that its servers have yet to read.
+COLD_FACTOR = 1.6
 #: Ends that say nothing of a version: a server that is full, gone or crashed, or a
 #: caller who left.
 _SILENT = (Result.REFUSED, Result.UNREACHABLE, Result.BROKEN, Result.LEFT)
@@ -19,6 +22,8 @@
 
     :param key: None while the service has no undecided order.
     :param order: row version of that order.
+    :param has_prompt: whether the time to its first event depends on what the server
+        read before.
     :param warm: whether the server's times are those of its version.
     :ivar overdue: whether it was counted as slow before its first event.
     """
@@ -28,6 +33,7 @@
     order: int
     sent_at: float
     warm: bool
+    has_prompt: bool = False
     first_at: float | None = None
     last_at: float = 0.0
     events: int = 0
@@ -44,7 +50,7 @@
         """Return what counts now that its first event is long due."""
         self.overdue = True
         counts = Counts(ended=1)
-        counts.first[bucket_of(now - self.sent_at)] = 1
+        counts.first[self._first_bucket(now)] = 1
         return counts
 
     def count_end(self, result: Result, now: float) -> Counts:
@@ -58,8 +64,14 @@
             return counts
         if not self.overdue:
             first_at = now if self.first_at is None else self.first_at
-            counts.first[bucket_of(first_at - self.sent_at)] = 1
+            counts.first[self._first_bucket(first_at)] = 1
         if self.events >= LEAST_EVENTS:
             gap = (self.last_at - self.first_at) / (self.events - 1)
             counts.gap[bucket_of(gap)] = 1
         return counts
+
+    def _first_bucket(self, at: float) -> int:
+        seconds = at - self.sent_at
+        if self.has_prompt and self.key.target:
+            seconds /= COLD_FACTOR
+        return bucket_of(seconds)
--- a/bluebellshore/rollouts/evidence.py
+++ b/bluebellshore/rollouts/evidence.py
@@ -18,11 +18,11 @@
 WINDOW_SECONDS = 0.5
 #: Windows kept one by one: the longest span that is judged besides the whole order.
 MOST_WINDOWS = 40
-#: Latency buckets: two for each doubling, from 1 ms to 70 s. Finer ones would tell
-#: nothing more of answers several times slower.
+#: Latency buckets: three for each doubling, from 1 ms to 65 s; an answer that is half
+#: as slow again lies two buckets higher.
 FIRST_BOUND_SECONDS = 0.001
-BUCKETS_PER_DOUBLING = 2
-LAST_BUCKET = 32
+BUCKETS_PER_DOUBLING = 3
+LAST_BUCKET = 48
 
 
 def bucket_of(seconds: float) -> int:
--- a/bluebellshore/rollouts/plan.py
+++ b/bluebellshore/rollouts/plan.py
@@ -17,23 +17,24 @@
 #: Part of the order's time, and least seconds, kept for going back.
 RESERVE_PART = 0.08
 RESERVE_SECONDS = 1.0
-#: Part of the allowed exposure that is used at all, for the first share and for one
-#: step: the rest goes to answers that are under way when badness shows.
-USED_PART = 0.85
-FIRST_PART = 0.3
+#: Part of the allowed exposure that is used at all: the rest goes to answers that are
+#: under way when badness shows. Least part of it for the first share, and the part
+#: for one step.
+USED_PART = 0.9
+FIRST_PART = 0.2
 STEP_PART = 0.14
+#: Part of what the steps need not that goes to the first share.
+SPARE_PART = 0.6
 #: Bounds of the time of one step. Peers hear of a verdict in about half a second.
 STEP_SECONDS = (0.8, 3.0)
 #: Time with all traffic moved until the completion is written, and the part of it
 #: for which there must be exposure left to stay there.
-FULL_SECONDS = 1.8
+FULL_SECONDS = 1.5
 REACTION_SECONDS = 0.5
 #: Most of the first share, for services with few requests.
 MOST_FIRST_SHARE = 0.25
 #: Requests are expected to go on at this part of their rate.
 EXPECTED_PART = 0.8
-#: Answers of the target version without which its share stays low.
-LEAST_RESULTS = 20
 
 
 class Situation(msgspec.Struct, frozen=True):
@@ -43,7 +44,7 @@
     :param seconds: time that the order gives.
     :param exposed: requests that the target version got from the whole fleet.
     :param requests: requests that the service got since the order.
-    :param results: answers of the target version that were counted.
+    :param has_results: whether its answers suffice for an opinion.
     :param may_finish: whether the completion could be written.
     """
 
@@ -51,7 +52,7 @@
     seconds: float
     exposed: int
     requests: int
-    results: int
+    has_results: bool
     opinion: Opinion
     exposure_share: float
     exposure_extra: float
@@ -90,8 +91,9 @@
         if situation.opinion is Opinion.BAD or late(situation):
             self.share = 0.0
             return 0.0
-        if self._may_advance(situation):
-            self._step += 1
+        step = self._next(situation)
+        if step is not None:
+            self._step = step
             self._since = situation.age
         if not self._has_room(situation, self._share(situation), REACTION_SECONDS):
             # The completion did not come in time: back to few, as after a failure.
@@ -108,24 +110,30 @@
         if situation.age < LEARN_SECONDS or not situation.requests:
             return FIRST_SHARE
         seconds = max(LEARN_SECONDS, _ramp_at(situation))
-        share = FIRST_PART * situation.allowed / (situation.rate * seconds)
-        return min(MOST_FIRST_SHARE, share)
-
-    def _may_advance(self, situation: Situation) -> bool:
-        if self._step + 1 >= len(STEPS):
-            return False
-        if situation.opinion is not Opinion.GOOD or situation.results < LEAST_RESULTS:
-            return False
+        spare = situation.allowed - _ramp_requests(situation)
+        requests = max(FIRST_PART * situation.allowed, SPARE_PART * spare)
+        return min(MOST_FIRST_SHARE, requests / (situation.rate * seconds))
+
+    def _next(self, situation: Situation) -> int | None:
+        """Return the step that begins now; None to stay.
+
+        A step between is left out where the exposure would not suffice for the last.
+        """
+        if situation.opinion is not Opinion.GOOD or not situation.has_results:
+            return None
+        if not situation.may_finish:
+            return None
+        seconds = _step_seconds(situation)
         if self._step < 0:
             if situation.age < _ramp_at(situation):
-                return False
-        elif situation.age < self._since + _step_seconds(situation):
-            return False
-        share = STEPS[self._step + 1]
-        if share < 1.0:
-            return self._has_room(situation, share, _step_seconds(situation))
-        room = self._has_room(situation, share, FULL_SECONDS)
-        return room and situation.may_finish
+                return None
+        elif situation.age < self._since + seconds:
+            return None
+        for step in range(self._step + 1, len(STEPS)):
+            between = STEPS[step] * seconds if STEPS[step] < 1.0 else 0.0
+            if self._has_room(situation, 1.0, between + FULL_SECONDS):
+                return step
+        return None
 
     @staticmethod
     def _has_room(situation: Situation, share: float, seconds: float) -> bool:
@@ -144,3 +152,10 @@
     """Return the age at which the share begins to rise."""
     steps = (len(STEPS) - 1) * _step_seconds(situation)
     return FINISH_PART * situation.seconds - steps - FULL_SECONDS
+
+
+def _ramp_requests(situation: Situation) -> float:
+    """Return the requests that the target version gets while the share rises."""
+    seconds = _step_seconds(situation)
+    steps = sum(share * seconds for share in STEPS if share < 1.0)
+    return situation.rate * (steps + FULL_SECONDS)
--- /dev/null
+++ b/bluebellshore/rollouts/routes.py
@@ -0,0 +1,69 @@
+"""Sees to it that a target version is tried on each of its service's routes."""
+
+from collections import Counter
+
+from bluebellshore.ids import RouteName
+from bluebellshore.rollouts.evidence import Counts, Key
+
+__all__ = ["has_results", "route_share", "route_weights"]
+
+#: Answers of the target version without which its share stays low: in all, and on each
+#: route with at least this part of the requests.
+LEAST_RESULTS = 20
+LEAST_ROUTE_RESULTS = 6
+ROUTE_PART = 0.05
+#: Multiple of the share that a route with few requests gets at most, the share up to
+#: which it does, and the most that it so gets.
+MOST_WEIGHT = 5.0
+LOW_SHARE = 0.25
+MOST_SHARE = 0.6
+#: Requests from which the routes' parts are known.
+LEAST_REQUESTS = 30
+
+
+def has_results(counts_by_key: dict[Key, Counts]) -> bool:
+    """Return whether the target version's answers suffice for an opinion."""
+    sent, results = _by_route(counts_by_key)
+    if results.total() < LEAST_RESULTS:
+        return False
+    least = ROUTE_PART * sent.total()
+    return all(
+        results[route] >= LEAST_ROUTE_RESULTS
+        for route, count in sent.items()
+        if count >= least
+    )
+
+
+def route_weights(counts_by_key: dict[Key, Counts]) -> dict[RouteName, float]:
+    """Return the multiple of the share for each route.
+
+    All routes together get the share that is planned.
+    """
+    sent, _ = _by_route(counts_by_key)
+    total = sent.total()
+    if total < LEAST_REQUESTS:
+        return {}
+    mean = total / len(sent)
+    weights = {route: min(MOST_WEIGHT, mean / sent[route]) for route in sent}
+    taken = sum(weights[route] * sent[route] for route in sent) / total
+    return {route: weight / taken for route, weight in weights.items()}
+
+
+def route_share(share: float, weight: float) -> float:
+    """Return a route's share; routes differ only while the share is low."""
+    if share >= LOW_SHARE:
+        return share
+    return min(MOST_SHARE, share * weight)
+
+
+def _by_route(
+    counts_by_key: dict[Key, Counts],
+) -> tuple[Counter[RouteName], Counter[RouteName]]:
+    """Return all requests, and the target version's answers."""
+    sent: Counter[RouteName] = Counter()
+    results: Counter[RouteName] = Counter()
+    for key, counts in counts_by_key.items():
+        sent[key.route] += counts.sent
+        if key.target:
+            results[key.route] += counts.ended
+    return sent, results
--- a/bluebellshore/rollouts/track.py
+++ b/bluebellshore/rollouts/track.py
@@ -4,28 +4,37 @@
 
 import msgspec
 
-from bluebellshore.fleet import BackendServer, RolloutOrder
-from bluebellshore.ids import IncarnationId, MoveId, RequestKey, VersionName
+from bluebellshore.fleet import BackendServer, Call, RolloutOrder
+from bluebellshore.ids import (
+    IncarnationId,
+    MoveId,
+    RequestKey,
+    RouteName,
+    VersionName,
+)
 from bluebellshore.moves.judge import Assessment, Opinion
 from bluebellshore.moves.share import takes_new_version
 from bluebellshore.rollouts.attempt import Attempt
 from bluebellshore.rollouts.evidence import Counts, Evidence, Key
 from bluebellshore.rollouts.judge import assess, overdue_seconds
 from bluebellshore.rollouts.plan import SharePlan, Situation, late
+from bluebellshore.rollouts.routes import has_results, route_share, route_weights
 from bluebellshore.rollouts.state import RolloutRecord, RolloutState
 
 __all__ = ["Exposure", "RolloutReport", "Track"]
 
 #: Least time between two judgements.
 JUDGE_SECONDS = 0.2
-#: Time for which all traffic must have moved: several exchanges between routers, and
-#: requests on their way to the servers that stop.
+#: Least time for which all traffic must have moved: several exchanges between routers.
 MOVED_SECONDS = 1.0
+#: Time for which the version is watched with all traffic where the exposure suffices.
+WATCH_SECONDS = 4.0
 #: Age of a peer's report beyond which it says nothing of its share now.
 REPORT_SECONDS = 1.6
-#: Exposure left, in seconds of all traffic, at which requests that still run on the
-#: other versions are waited for no longer, and the same as a part of the order's time.
-WAIT_ROOM_SECONDS = 1.0
+#: Exposure left, in seconds of all traffic, at which neither is it watched any longer
+#: nor are requests waited for that still run on the other versions, and the same as a
+#: part of the order's time.
+WAIT_ROOM_SECONDS = 1.2
 WAIT_PART = 0.85
 #: Attempts remembered that failed at the target version: they are repeated elsewhere.
 MOST_FAILED = 1000
@@ -101,6 +110,7 @@
         self._overdue: dict[str, float] = {}
         self._heard: dict[IncarnationId, _Heard] = {}
         self._situation: Situation | None = None
+        self._weights: dict[RouteName, float] = {}
 
     @property
     def state(self) -> RolloutState:
@@ -116,7 +126,7 @@
         self._began_at = min(self._began_at, now - age)
 
     def candidates(
-        self, attempt_id: str, servers: Sequence[BackendServer]
+        self, call: Call, servers: Sequence[BackendServer]
     ) -> list[BackendServer]:
         """Return the servers that may get a request."""
         target = [s for s in servers if s.version == self.order.target]
@@ -133,10 +143,10 @@
             return others
         takes = takes_new_version(
             MoveId(f"{self.order.service}/{self.version}"),
-            RequestKey(attempt_id),
-            self.share,
+            RequestKey(call.attempt_id),
+            route_share(self.share, self._weights.get(call.route.name, 1.0)),
         )
-        if takes and target and not (attempt_id in self._failed and others):
+        if takes and target and not (call.attempt_id in self._failed and others):
             return target
         return others or target
 
@@ -227,6 +237,7 @@
             if waits and limit is not None and now - attempt.sent_at > limit:
                 self.evidence.record(attempt.key, attempt.count_overdue(now), now)
         self._opinion = assess(self.evidence, now)
+        self._weights = route_weights(self.evidence.span(now, None))
         if self._opinion.opinion is Opinion.BAD and not self.bad:
             self.bad = self._opinion.reason
 
@@ -238,7 +249,7 @@
             seconds=self.order.seconds,
             exposed=exposed,
             requests=requests,
-            results=sum(c.ended for key, c in whole.items() if key.target),
+            has_results=has_results(whole),
             opinion=Opinion.BAD if self.bad else self._opinion.opinion,
             exposure_share=self._exposure.share,
             exposure_extra=self._exposure.extra,
@@ -259,10 +270,11 @@
             if heard is None or heard.share < 1.0 or now - heard.at > REPORT_SECONDS:
                 return False
             running += heard.running
-        return not running or self._is_pressing()
+        watched = now - self._moved_at >= WATCH_SECONDS
+        return (watched and not running) or self._is_pressing()
 
     def _is_pressing(self) -> bool:
-        """Whether the completion can wait no longer for requests that still run."""
+        """Whether the completion can wait no longer."""
         situation = self._situation
         more = situation.rate * WAIT_ROOM_SECONDS
         if situation.exposed + more > situation.allowed:
