--- a/bluebellshore/rollouts/judge.py
+++ b/bluebellshore/rollouts/judge.py
@@ -26,8 +26,8 @@
 SPANS_SECONDS: tuple[float | None, ...] = (3.0, 10.0, None)
 #: Largest probability of the evidence under a good version that counts as bad. It is
 #: looked at several times a second for each route.
-BAD_PROBABILITY = 1e-4
-DOUBTFUL_PROBABILITY = 1e-2
+BAD_PROBABILITY = 1e-3
+DOUBTFUL_PROBABILITY = 0.02
 #: Rate of failures and of slow answers that is allowed beyond the other versions'.
 FAILED_MARGIN = 0.03
 SLOW_MARGIN = 0.03
