--- a/bluebellshore/experiments/rollouts.py
+++ b/bluebellshore/experiments/rollouts.py
@@ -36,7 +36,15 @@
 from bluebellshore.routing.results import Result
 from bluebellshore.store import MemoryFaults, MemoryTable, Write
 
-__all__ = ["CASES", "Case", "Outcome", "Trial", "run_trial"]
+__all__ = [
+    "CASES",
+    "Case",
+    "Outcome",
+    "Trial",
+    "make_call",
+    "make_servers",
+    "run_trial",
+]
 
 SERVICE = ServiceName("s")
 OLD, NEW = VersionName("v1"), VersionName("v2")
@@ -208,7 +216,7 @@
             rng=random.Random(seed + 1),
         )
         self.table = _Watched(faults)
-        self.servers = {s.server_id: s for s in _servers(OLD, "o")}
+        self.servers = {s.server_id: s for s in make_servers(OLD, "o")}
         self.routers: list[_Router] = []
         self.outcome = Outcome()
         self._router_count = routers
@@ -256,7 +264,7 @@
 
     async def _start_new(self) -> None:
         await asyncio.sleep(START_SECONDS)
-        self.servers.update({s.server_id: s for s in _servers(NEW, "n")})
+        self.servers.update({s.server_id: s for s in make_servers(NEW, "n")})
 
     async def _disturb(self) -> None:
         case = self.case
@@ -303,7 +311,7 @@
         weights = [ROUTES[name][0] for name in names]
         route = self.rng.choices(names, weights)[0]
         self._serial += 1
-        call = _call(f"{self._seed}-{self._serial}", route, self.now())
+        call = make_call(f"{self._seed}-{self._serial}", route, self.now())
         servers = [s for s in self.servers.values() if s.service == SERVICE]
         found = router.rollouts.candidates(call, servers, self.now())
         if not found:
@@ -395,13 +403,13 @@
         return version
 
 
-def _servers(version: VersionName, letter: str) -> Iterator[BackendServer]:
+def make_servers(version: VersionName, letter: str) -> Iterator[BackendServer]:
     for number in range(SERVERS_EACH):
         name = BackendServerId(f"{letter}{number}")
         yield BackendServer(name, SERVICE, "h", 1, version=version)
 
 
-def _call(attempt_id: str, route: str, now: float) -> Call:
+def make_call(attempt_id: str, route: str, now: float) -> Call:
     found = Route(
         name=RouteName(route),
         host="h",
--- /dev/null
+++ b/tests/test_entry_rollouts.py
@@ -0,0 +1,314 @@
+"""Tests of rollouts that the operator orders, at several entry routers."""
+
+import asyncio
+import random
+import unittest
+
+from bluebellshore.entry.knowledge import Knowledge, Orders
+from bluebellshore.entry.rollout_messages import read_reports, write_reports
+from bluebellshore.entry.rollouts import Rollouts
+from bluebellshore.experiments.rollouts import (
+    CASES,
+    NEW,
+    OLD,
+    SERVICE,
+    Case,
+    Outcome,
+    make_call,
+    make_servers,
+    run_trial,
+)
+from bluebellshore.experiments.virtual_time import run_virtual
+from bluebellshore.fleet import RolloutOrder
+from bluebellshore.ids import IncarnationId, VersionName
+from bluebellshore.platform.names import rollout_status_key
+from bluebellshore.platform.rollouts import decode_record, rollout_record_key
+from bluebellshore.rollouts import Exposure, RolloutState
+from bluebellshore.routing.results import Result
+from bluebellshore.store import MemoryFaults, MemoryTable
+from bluebellshore.wire import peer_pb2
+
+SECONDS = 20.0
+CASE_BY_NAME = {case.name: case for case in CASES}
+IN_PROGRESS = b'{"state":"in_progress","target":"v2"}'
+COMPLETED = b'{"state":"completed","target":"v2"}'
+ROLLED_BACK = b'{"state":"rolled_back","target":"v2"}'
+
+
+class TrialTest(unittest.TestCase):
+    """Whole orders, in virtual time."""
+
+    def play(self, name: str, seed: int = 0) -> tuple[Case, Outcome]:
+        case = CASE_BY_NAME[name]
+        return case, run_trial(case, seed)
+
+    def check_completed(self, name: str) -> None:
+        case, outcome = self.play(name)
+        self.assertEqual(outcome.statuses, [IN_PROGRESS, COMPLETED])
+        self.assertLess(outcome.decided_at, case.seconds)
+        self.assertEqual(outcome.cut, 0)
+
+    def check_rolled_back(self, name: str) -> None:
+        case, outcome = self.play(name)
+        self.assertEqual(outcome.statuses, [IN_PROGRESS, ROLLED_BACK])
+        self.assertLess(outcome.decided_at, case.seconds)
+        allowed = case.exposure.share * outcome.requests + case.exposure.extra
+        self.assertLessEqual(outcome.exposed, allowed)
+        self.assertLess(outcome.last_after_shown, 5.0)
+
+    def test_good_version_is_completed(self) -> None:
+        for name in (
+            "good",
+            "good, 1.3 times as slow",
+            "good, one server fails half",
+            "good, all servers in trouble",
+            "good, short order",
+        ):
+            with self.subTest(name):
+                self.check_completed(name)
+
+    def test_good_version_is_completed_in_spite_of_the_store_and_a_restart(self):
+        for name in (
+            "good, store out for a quarter",
+            "good, answers of the store lost",
+            "good, a router begins anew",
+        ):
+            with self.subTest(name):
+                self.check_completed(name)
+
+    def test_failing_version_is_rolled_back_within_its_exposure(self) -> None:
+        for name in (
+            "fails 30 % at once",
+            "fails 30 % later",
+            "fails 50 % on one route",
+            "fails 40 % under load",
+            "fails 30 % later, a router anew",
+            "fails 30 %, store out",
+        ):
+            with self.subTest(name):
+                self.check_rolled_back(name)
+
+    def test_slow_version_is_rolled_back_within_its_exposure(self) -> None:
+        for name in ("40 % slow at once", "60 % slow on one route"):
+            with self.subTest(name):
+                self.check_rolled_back(name)
+
+    def test_without_the_store_nobody_completes(self) -> None:
+        case = Case("good, store out", outage=(0.3, 2.0))
+        outcome = run_trial(case, 0)
+        self.assertNotIn(COMPLETED, outcome.statuses)
+        self.assertLess(outcome.exposed, outcome.requests * 0.3)
+
+    def test_without_the_store_a_bad_version_gets_nothing_more(self) -> None:
+        case = Case("fails, store out", fails=0.5, bad_from=0.3, outage=(0.2, 2.0))
+        outcome = run_trial(case, 0)
+        self.assertEqual(outcome.statuses, [IN_PROGRESS])
+        allowed = case.exposure.share * outcome.requests + case.exposure.extra
+        self.assertLess(outcome.exposed, 0.5 * allowed)
+
+
+class Fleet:
+    """Routers without traffic that share a table."""
+
+    def __init__(self, count: int, table: MemoryTable | None = None):
+        self.table = table or MemoryTable()
+        self.servers = {
+            s.server_id: s for s in (*make_servers(OLD, "o"), *make_servers(NEW, "n"))
+        }
+        self.lost = False
+        self.routers: list[Rollouts] = []
+        self.knowledge: list[Knowledge] = []
+        self.names = [IncarnationId(f"r{n}") for n in range(count)]
+        for name in self.names:
+            self.add(name)
+
+    def add(self, name: IncarnationId) -> Rollouts:
+        knowledge = Knowledge(2.0)
+        knowledge.servers_by_id = self.servers
+        router = Rollouts(
+            knowledge,
+            self.table,
+            name,
+            Exposure(0.1, 20.0),
+            peers=lambda: [n for n in self.names if n != name],
+            store_lost=lambda: self.lost,
+            store_seconds=lambda: asyncio.get_running_loop().time(),
+            rng=random.Random(name),
+        )
+        self.routers.append(router)
+        self.knowledge.append(knowledge)
+        return router
+
+    def order(self, version: int, target: VersionName = NEW) -> None:
+        for knowledge in self.knowledge:
+            found = Orders(RolloutOrder(SERVICE, target, SECONDS), version)
+            knowledge.orders_by_service[SERVICE] = found
+        for router in self.routers:
+            router.tick()
+
+    def status(self) -> bytes | None:
+        row = self.table.rows_by_key.get(rollout_status_key(SERVICE))
+        return row and row.value
+
+    def versions_used(self, router: Rollouts, calls: int = 400) -> set[VersionName]:
+        now = asyncio.get_running_loop().time()
+        used = set()
+        for number in range(calls):
+            call = make_call(f"c{number}", "a", now)
+            found = router.candidates(call, list(self.servers.values()), now)
+            used |= {server.version for server in found}
+        return used
+
+    def fail(self, router: Rollouts, count: int) -> None:
+        """Have the new version fail where the old one does not."""
+        now = asyncio.get_running_loop().time()
+        for number in range(count):
+            for letter, result in (("o", Result.ANSWERED), ("n", Result.FAILED)):
+                server = self.servers[f"{letter}{number % 4}"]
+                call = make_call(f"{letter}{number}", "a", now)
+                attempt = router.begin(call, server, now)
+                router.end(SERVICE, attempt, result, now)
+
+    async def settle(self, seconds: float) -> None:
+        """Let time pass; all routers judge, then read and write at once."""
+        for _ in range(round(seconds / 0.1)):
+            await asyncio.sleep(0.1)
+            for router in self.routers:
+                router.tick()
+            await asyncio.gather(*(router.settle() for router in self.routers))
+
+
+class RolloutsTest(unittest.TestCase):
+    def run_virtual(self, main) -> None:
+        run_virtual(main())
+
+    def test_without_an_order_all_versions_serve(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(1)
+            self.assertEqual(fleet.versions_used(fleet.routers[0]), {OLD, NEW})
+
+        self.run_virtual(main)
+
+    def test_newcomer_waits_for_an_order_that_may_follow(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(1)
+            new = {key: s for key, s in fleet.servers.items() if s.version == NEW}
+            for key in new:
+                del fleet.servers[key]
+            fleet.versions_used(fleet.routers[0])
+            fleet.servers.update(new)
+            self.assertEqual(fleet.versions_used(fleet.routers[0]), {OLD})
+            await asyncio.sleep(2.1)
+            self.assertEqual(fleet.versions_used(fleet.routers[0]), {OLD, NEW})
+
+        self.run_virtual(main)
+
+    def test_routers_that_race_write_one_beginning(self) -> None:
+        async def main() -> None:
+            faults = MemoryFaults(delay_seconds=0.05, lose_answers=0.5)
+            fleet = Fleet(3, MemoryTable(faults))
+            fleet.order(5)
+            await fleet.settle(3.0)
+            self.assertEqual(fleet.status(), IN_PROGRESS)
+            row = fleet.table.rows_by_key[rollout_status_key(SERVICE)]
+            self.assertEqual(row.version, 1)
+
+        self.run_virtual(main)
+
+    def test_verdict_stops_traffic_at_once_and_spreads(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(2)
+            first, second = fleet.routers
+            fleet.order(5)
+            await fleet.settle(2.0)
+            self.assertIn(NEW, fleet.versions_used(first))
+            fleet.table.faults.outage = True
+            fleet.fail(first, 20)
+            first.tick()
+            await asyncio.sleep(0.3)
+            first.tick()
+            self.assertEqual(fleet.versions_used(first), {OLD})
+            second.merge(fleet.names[0], first.reports())
+            self.assertEqual(fleet.versions_used(second), {OLD})
+            self.assertEqual(fleet.status(), IN_PROGRESS)
+            fleet.table.faults.outage = False
+            await fleet.settle(2.0)
+            self.assertEqual(fleet.status(), ROLLED_BACK)
+
+        self.run_virtual(main)
+
+    def test_decided_order_stays_decided(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(2)
+            fleet.order(5)
+            await fleet.settle(SECONDS + 1.0)
+            # There was no traffic, so nothing speaks for the version.
+            self.assertEqual(fleet.status(), ROLLED_BACK)
+            anew = fleet.add(IncarnationId("r9"))
+            fleet.order(5)
+            await fleet.settle(SECONDS + 1.0)
+            self.assertEqual(fleet.status(), ROLLED_BACK)
+            self.assertEqual(fleet.versions_used(anew), {OLD})
+
+        self.run_virtual(main)
+
+    def test_later_order_begins_anew(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(2)
+            fleet.order(5)
+            await fleet.settle(SECONDS + 1.0)
+            fleet.order(9)
+            await fleet.settle(2.0)
+            self.assertEqual(fleet.status(), IN_PROGRESS)
+            row = fleet.table.rows_by_key[rollout_record_key(SERVICE)]
+            self.assertEqual(decode_record(row.value).order, 9)
+
+        self.run_virtual(main)
+
+    def test_router_that_knows_an_older_order_writes_nothing(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(2)
+            fleet.order(5)
+            await fleet.settle(1.0)
+            later = Orders(RolloutOrder(SERVICE, NEW, SECONDS), 9)
+            fleet.knowledge[0].orders_by_service[SERVICE] = later
+            await fleet.settle(2.0)
+            fleet.fail(fleet.routers[1], 20)
+            await fleet.settle(2.0)
+            self.assertEqual(fleet.status(), IN_PROGRESS)
+
+        self.run_virtual(main)
+
+    def test_router_that_begins_in_the_middle_learns_the_age(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(1)
+            await asyncio.sleep(1.0)
+            fleet.order(5)
+            await fleet.settle(6.0)
+            anew = fleet.add(IncarnationId("r9"))
+            fleet.order(5)
+            self.assertEqual(fleet.versions_used(anew), {OLD})
+            await fleet.settle(1.0)
+            now = asyncio.get_running_loop().time()
+            self.assertAlmostEqual(anew.track(SERVICE, now).age(now), 7.0, delta=0.2)
+
+        self.run_virtual(main)
+
+    def test_reports_survive_their_message(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(1)
+            fleet.order(5)
+            await fleet.settle(1.0)
+            fleet.fail(fleet.routers[0], 20)
+            await fleet.settle(1.0)
+            state = peer_pb2.PeerState()
+            reports = fleet.routers[0].reports()
+            write_reports(reports, state)
+            self.assertEqual(read_reports(state), reports)
+            self.assertIs(reports[0].state, RolloutState.ROLLED_BACK)
+
+        self.run_virtual(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
