Judge few answers exactly; ask for more of them on each route

Cause: Chernoff's bound needs half as many answers again, and three failures of one server counted in full. Short orders fell back as their exposure ran out while all traffic was watched. Ruled out: looser probabilities (good versions rolled back).

--- a/bluebellshore/moves/judge.py
+++ b/bluebellshore/moves/judge.py
@@ -23,7 +23,6 @@
     "Opinion",
     "assess",
     "assess_latest",
-    "binomial_tail",
     "wilson_upper",
 ]
 
--- a/bluebellshore/rollouts/judge.py
+++ b/bluebellshore/rollouts/judge.py
@@ -1,5 +1,6 @@
 """Judges a target version against the others on the same routes at the same time."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -8,7 +9,6 @@
 from bluebellshore.moves.judge import (
     Assessment,
     Opinion,
-    binomial_tail,
     wilson_upper,
 )
 from bluebellshore.rollouts.evidence import (
@@ -28,6 +28,8 @@
 #: looked at several times a second for each route.
 BAD_PROBABILITY = 1e-3
 DOUBTFUL_PROBABILITY = 0.02
+#: Terms of a tail that are smaller than this part of it are left out.
+TAIL_PRECISION = 1e-6
 #: Rate of failures and of slow answers that is allowed beyond the other versions'.
 FAILED_MARGIN = 0.03
 SLOW_MARGIN = 0.03
@@ -41,7 +43,7 @@
 LEAST_OTHERS = 12
 #: Failures of one server that count beyond twice those of all others: the trouble of
 #: one server is not the version's.
-ONE_SERVER = 3
+ONE_SERVER = 2
 #: An attempt without an event is counted as slow beyond what this share of the others'
 #: attempts took, and what is allowed on top.
 OVERDUE_QUANTILE = 0.95
@@ -151,12 +153,35 @@
         worst = max(bad for bad, _ in bad_by_server)
         dropped = max(0, bad - (2 * (bad - worst) + ONE_SERVER))
         bad, total = bad - dropped, total - dropped
-    probability = binomial_tail(bad, total, rate)
+    probability = _tail(bad, total, rate)
     if probability < BAD_PROBABILITY:
         return Opinion.BAD
     return Opinion.DOUBTFUL if probability < DOUBTFUL_PROBABILITY else Opinion.GOOD
 
 
+def _tail(bad: int, total: int, rate: float) -> float:
+    """Return the probability of `bad` or more among `total` at `rate`.
+
+    Exact, as Chernoff's bound needs half as many answers again.
+    """
+    if rate >= 1.0 or bad <= total * rate:
+        return 1.0
+    term = math.exp(
+        math.lgamma(total + 1)
+        - math.lgamma(bad + 1)
+        - math.lgamma(total - bad + 1)
+        + bad * math.log(rate)
+        + (total - bad) * math.log1p(-rate)
+    )
+    sum_ = term
+    for count in range(bad, total):
+        term *= (total - count) / (count + 1) * rate / (1.0 - rate)
+        sum_ += term
+        if term < sum_ * TAIL_PRECISION:
+            break
+    return sum_
+
+
 def _assess_failures(target: list[Counts], others: list[Counts]) -> Assessment:
     rate = _usual([(other.failed, other.ended) for other in others])
     if rate is None:
--- a/bluebellshore/rollouts/routes.py
+++ b/bluebellshore/rollouts/routes.py
@@ -10,8 +10,10 @@
 #: Answers of the target version without which its share stays low: in all, and on each
 #: route with at least this part of the requests.
 LEAST_RESULTS = 20
-LEAST_ROUTE_RESULTS = 6
+LEAST_ROUTE_RESULTS = 12
 ROUTE_PART = 0.05
+#: Part of a route's requests that suffices where there are few.
+FEW_PART = 0.25
 #: Multiple of the share that a route with few requests gets at most, the share up to
 #: which it does, and the most that it so gets.
 MOST_WEIGHT = 5.0
@@ -28,7 +30,7 @@
         return False
     least = ROUTE_PART * sent.total()
     return all(
-        results[route] >= LEAST_ROUTE_RESULTS
+        results[route] >= min(LEAST_ROUTE_RESULTS, FEW_PART * count)
         for route, count in sent.items()
         if count >= least
     )
