--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -10,7 +10,11 @@
 import msgspec
 
 from bluebellshore.budget.book import AllotmentBook
-from bluebellshore.budget.composer import Cover, Request, Transaction
+from bluebellshore.budget.composer import (
+    Cover,
+    Request,
+    Transaction,
+)
 from bluebellshore.budget.journal import CommitResult, Journal
 from bluebellshore.budget.policy import AllotmentPolicy
 from bluebellshore.budget.rows import IncarnationRow
@@ -120,6 +124,11 @@
         """True once this incarnation is fenced; nothing more is reserved."""
         return self._journal.fenced
 
+    @property
+    def ended(self) -> bool:
+        """True once nothing more is reserved: fenced or closing."""
+        return self.fenced or self._closing
+
     async def open(self, instance_id: InstanceId) -> None:
         """Write the incarnation's row; retries until the platform answers."""
         row = IncarnationRow(instance_id=instance_id)
@@ -193,7 +202,7 @@
         self, budget: BudgetId, attempt: str, sidecar: IncarnationId, tokens: Tokens
     ) -> bool:
         """Reserve at once or not at all."""
-        if self.fenced or self._closing:
+        if self.ended:
             return False
         return self.book.reserve(budget, attempt, sidecar, tokens, self._clock())
 
@@ -251,7 +260,8 @@
                 eliot.log_message("accountant_left_open", open=self.book.open_count())
                 return
             await self._commit()
-            if not self._journal.closed and not self._failures:
+            hurry = self._failures or self._more_than_a_batch()
+            if not self._journal.closed and not hurry:
                 await asyncio.sleep(self._times.settle)
 
     def snapshot(self) -> dict:
@@ -423,6 +433,8 @@
             self._settle_factor = max(1.0, self._settle_factor * 0.9)
             jitter = self._rng.uniform(0.75, 1.25)
             self._settle_at = now + self._times.settle * self._settle_factor * jitter
+            if result is CommitResult.COMMITTED and self._more_than_a_batch():
+                self._settle_at = now
         self._serve_waiters()
         self._refuse_exhausted()
         for budget in request.demands_by_budget:
@@ -439,6 +451,9 @@
             self.platform_out = False
             self.on_platform(False)
 
+    def _more_than_a_batch(self) -> bool:
+        return len(self.book.unsettled_by_attempt) >= self._journal.batch_bills
+
     async def _pause(self) -> None:
         limit = min(MAX_BACKOFF_SECONDS, BACKOFF_SECONDS * 2 ** min(self._failures, 10))
         await asyncio.sleep(self._rng.uniform(0, limit))
--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -23,13 +23,24 @@
     ledger_key,
 )
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
-from bluebellshore.store.interface import ABSENT, Row, Write
+from bluebellshore.store.interface import (
+    ABSENT,
+    MAX_TRANSACTION_WRITES,
+    Row,
+    Write,
+)
 
 __all__ = ["Composer", "Cover", "Demand", "Request", "Transaction"]
 
-BATCH_BILLS = 200
 #: A want that stood unchanged for so long is a dead router's, or in vain.
 WANTED_SECONDS = 5.0
+#: Bills of one transaction. Each may write a marker and a budget's row, which with
+#: the incarnation's row and the ledger's must fit into one transaction.
+BATCH_BILLS = 20
+#: The same where only their sums are written.
+BATCH_SUMMED_BILLS = 500
+#: The incarnation's row and the ledger's.
+OWN_WRITES = 2
 
 
 class Demand(msgspec.Struct, frozen=True):
@@ -81,7 +92,10 @@
 
 
 class Transaction(msgspec.Struct):
-    """Effects of a transaction on the book, applied once it is known to stand."""
+    """Effects of a transaction on the book, applied once it is known to stand.
+
+    :param partial: budgets were left to the next transaction for want of room.
+    """
 
     sequence: int
     expect: int
@@ -90,11 +104,16 @@
     bills: list[Bill] = msgspec.field(default_factory=list)
     grants: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
     returns: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
+    partial: bool = False
 
-    @property
-    def limits(self) -> Limits:
-        """Limits in the incarnation's row."""
-        return Limits(self.row.sidecars, self.row.caps)
+    limits: Limits = Limits([], {})
+
+    def billed(self) -> dict[BudgetId, Tokens]:
+        """Return the tokens that it settles, by budget."""
+        billed: dict[BudgetId, Tokens] = {}
+        for bill in self.bills:
+            billed[bill.budget] = Tokens(billed.get(bill.budget, 0) + bill.tokens)
+        return billed
 
 
 class Composer:
@@ -120,6 +139,7 @@
         self._policy = policy
         self._prepaid = prepaid
         self._keeps_ledger = keeps_ledger
+        self.batch_bills = BATCH_BILLS if keeps_ledger else BATCH_SUMMED_BILLS
         self._wants: dict[tuple[BudgetId, IncarnationId], _Want] = {}
         self._sequence = 0
 
@@ -134,9 +154,13 @@
 
     def _batch(self) -> list[Bill]:
         bills_by_key: dict[str, Bill] = {}
+        budgets: set[BudgetId] = set()
         for bill in self._book.unsettled_by_attempt.values():
             bills_by_key.setdefault(bill.key, bill)
-            if len(bills_by_key) == BATCH_BILLS:
+            budgets.add(bill.budget)
+            # Each budget has its row in the same transaction.
+            full = len(budgets) == MAX_TRANSACTION_WRITES - OWN_WRITES
+            if full or len(bills_by_key) == self.batch_bills:
                 break
         return list(bills_by_key.values())
 
@@ -163,14 +187,21 @@
         if request.settle or request.closing:
             wanted = set(budgets)
             transaction.bills = [b for b in self._batch() if b.budget in wanted]
-        for budget in budgets:
+        room = MAX_TRANSACTION_WRITES - OWN_WRITES
+        if self._keeps_ledger:
+            room -= len(transaction.bills)
+        for budget in _by_urgency(budgets, transaction, request):
+            if len(transaction.writes) == room:
+                transaction.partial = True
+                break
             self._compose_budget(
                 transaction, budget, rows.get(budget_key(budget)), request, now
             )
         limits = self._book.desired_limits(
-            request.needs_by_sidecar, transaction.grants, now
+            request.needs_by_sidecar, transaction.grants, now, transaction.billed()
         )
-        changed = limits != Limits(current.sidecars, current.caps)
+        known = (current.sidecars, current.caps)
+        changed = (limits.sidecars, limits.caps) != known
         if not (
             transaction.writes
             or transaction.bills
@@ -308,11 +339,12 @@
     ) -> None:
         row = transaction.row
         row.sequence = transaction.sequence
-        row.sidecars, row.caps = limits.sidecars, limits.caps
-        row.seen_seconds, row.lapse_seconds = self._book.lapse()
         if request.closing and self._closable(transaction):
             row.state = IncarnationState.CLOSED
-            row.sidecars, row.caps = [], {}
+            limits = Limits([], {})
+        transaction.limits = limits
+        row.sidecars, row.caps = limits.sidecars, limits.caps
+        row.seen_seconds, row.lapse_seconds = self._book.lapse()
         own_key = incarnation_key(self._incarnation)
         own = Write(own_key, transaction.expect, encode_row(row))
         transaction.writes.insert(0, own)
@@ -329,7 +361,23 @@
     def _closable(self, transaction: Transaction) -> bool:
         accounts = self._book.accounts_by_budget.values()
         return (
-            not self._book.reservations_by_attempt
+            not transaction.partial
+            and not self._book.reservations_by_attempt
             and len(self._book.unsettled_by_attempt) == len(transaction.bills)
             and not any(account.returning for account in accounts)
         )
+
+
+def _by_urgency(
+    budgets: list[BudgetId], transaction: Transaction, request: Request
+) -> list[BudgetId]:
+    """Return the budgets of bills first, then those that requests wait for."""
+    billed = {bill.budget for bill in transaction.bills}
+    return sorted(
+        budgets,
+        key=lambda budget: (
+            budget not in billed,
+            budget not in request.demands_by_budget,
+            budget,
+        ),
+    )
--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -1,6 +1,7 @@
 """Recovers the allotments of earlier lives of an instance."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -19,13 +20,19 @@
 )
 from bluebellshore.errors import TransactionConflictError
 from bluebellshore.ids import BudgetId, Epoch, IncarnationId, InstanceId, Tokens
-from bluebellshore.store.interface import Row, StoreTime, TableService, Write
+from bluebellshore.store.interface import (
+    MAX_TRANSACTION_WRITES,
+    Row,
+    StoreTime,
+    TableService,
+    Write,
+)
 
 __all__ = ["Predecessors", "Recovered"]
 
 PAGE_ROWS = 500
-#: Budgets settled in one transaction at most; the platform takes 100 rows.
-BATCH_BUDGETS = 80
+#: Budgets settled in one transaction at most, beside the incarnation's row.
+BATCH_BUDGETS = MAX_TRANSACTION_WRITES - 1
 #: Longest pauses after a first and after many conflicts.
 PAUSE_SECONDS = 0.02
 MAX_PAUSE_SECONDS = 0.3
@@ -54,6 +61,7 @@
     :param own: the incarnation that lives.
     :param store_time: the store's time, as an answer to this process told it.
     :param rng: source of jitter.
+    :param started_at: monotonic time at which this process was there already.
     """
 
     def __init__(
@@ -63,7 +71,9 @@
         instance_id: InstanceId,
         store_time: Callable[[], StoreTime | None] = lambda: None,
         rng: random.Random | None = None,
+        started_at: float = math.inf,
     ):
+        self._started_at = started_at
         self._rng = rng or random.Random()
         self._store_time = store_time
         self._died_before: float | None = None
@@ -80,7 +90,9 @@
         recovered = []
         rows = await self._rows()
         if self._died_before is None and (seen := self._store_time()):
-            self._died_before = seen.store_seconds
+            # The store's clock when this process began, at the latest.
+            lived = max(0.0, seen.asked_seconds - self._started_at)
+            self._died_before = seen.store_seconds - lived
         for row in rows:
             value = decode_row(row, IncarnationRow)
             incarnation = IncarnationId(row.key.removeprefix(INCARNATION_PREFIX))
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -5,23 +5,36 @@
 import uuid
 from typing import Any
 
-import eliot
 from aiohttp import web
 
+from bluebellshore import STARTED_AT
 from bluebellshore.backend.direct import DirectBackend
+from bluebellshore.decisions import DecisionLog, open_decision_log, silent_log
 from bluebellshore.entry.admission import Admission
+from bluebellshore.entry.attempt_lines import AttemptLines
 from bluebellshore.entry.budgets import CustomerBudgets
 from bluebellshore.entry.dispatch import Dispatcher
 from bluebellshore.entry.ingress import Ingress
 from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.measures import EntryMeasures
 from bluebellshore.entry.members import Members
+from bluebellshore.entry.metrics_port import MetricsPort
 from bluebellshore.entry.peers import Peers
 from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.entry.settings import EntrySettings
+from bluebellshore.entry.suspects import SuspectLines
+from bluebellshore.entry.trace import RequestEnds
 from bluebellshore.entry.watch import StoreWatch
 from bluebellshore.errors import SettingsError
 from bluebellshore.fleet import BackendServer, Configuration
-from bluebellshore.ids import CustomerId, IncarnationId, InstanceId, Tokens, ZoneName
+from bluebellshore.ids import (
+    BackendServerId,
+    CustomerId,
+    IncarnationId,
+    InstanceId,
+    Tokens,
+    ZoneName,
+)
 from bluebellshore.platform.requests import ANSWER_HEADERS, backend_headers
 from bluebellshore.platform.settings import load_settings
 from bluebellshore.platform.store import PlatformStore
@@ -30,16 +43,21 @@
 from bluebellshore.routing.placement import Placer
 from bluebellshore.routing.retry_window import RetryWindow
 from bluebellshore.routing.suspicion import Suspicion
+from bluebellshore.runtime import run_role
 
-__all__ = ["EntryRouter"]
+__all__ = ["EntryRouter", "serve"]
 
 #: Time for which a stopping router takes new connections: until the platform's
 #: second unanswered question whether it is ready, and the clients on their way.
 LEAVE_SECONDS = 2.6
 #: Kept back from the time until SIGKILL, to settle and to end.
 STOP_RESERVE_SECONDS = 0.8
+#: Kept back from the time until SIGKILL, to close what is open here.
+LAST_SECONDS = 0.5
 POLL_SECONDS = 0.05
 TICK_SECONDS = 0.25
+#: Age that the configuration is shown with before the store first confirmed one.
+MAX_AGE_SECONDS = 1e6
 #: Share of the connections that a backend server accepts which routers use together.
 CONNECTIONS_SHARE = 0.85
 MIN_CONNECTIONS = 2
@@ -51,14 +69,24 @@
     """Serves callers of the users' platform.
 
     :ivar address: ``host:port`` of the callers' port.
+    :ivar operator_address: that of metrics and state; empty for none.
     """
 
-    def __init__(self, settings: EntrySettings | None = None):
+    def __init__(
+        self,
+        settings: EntrySettings | None = None,
+        *,
+        incarnation: IncarnationId | None = None,
+        log: DecisionLog | None = None,
+        measures: EntryMeasures | None = None,
+    ):
         self.settings = settings or load_settings()
         self.address = self.settings.listen
-        self.incarnation = IncarnationId(
-            f"{self.settings.instance_id}.{uuid.uuid4().hex[:12]}"
-        )
+        self.incarnation = incarnation or _new_incarnation(self.settings)
+        self._log = log or silent_log()
+        self._measures = measures or EntryMeasures()
+        self._metrics_port: MetricsPort | None = None
+        self.operator_address = ""
         self.stopping = False
         self._tasks: list[asyncio.Task] = []
         self._ready_runner: web.ServerRunner | None = None
@@ -66,14 +94,14 @@
     async def start(self) -> None:
         """Begin to serve."""
         settings = self.settings
-        eliot.log_message(
-            "starting", instance=settings.instance_id, incarnation=self.incarnation
+        self._store = PlatformStore(
+            settings.store_address, on_call=self._measures.store_called
         )
-        self._store = PlatformStore(settings.store_address)
         await self._store.open()
-        self._knowledge = Knowledge(settings.server_lapse_seconds)
-        self._watch = StoreWatch(self._store, self._knowledge)
+        self._knowledge = Knowledge(settings.server_lapse_seconds, self._log)
+        self._watch = StoreWatch(self._store, self._knowledge, self._log)
         self._suspicion = Suspicion()
+        self._suspects = SuspectLines(self._suspicion, self._log)
         self._book = LoadBook(self._suspicion)
         instance_id = InstanceId(settings.instance_id)
         self._peers = Peers(
@@ -84,6 +112,7 @@
             knowledge=self._knowledge,
             book=self._book,
             store_lost=lambda: self._watch.lost,
+            log=self._log,
         )
         self._members = Members(
             self._store,
@@ -91,6 +120,7 @@
             self.incarnation,
             settings.peer_listen,
             self._peers.meet,
+            self._log,
         )
         self._backend = DirectBackend(
             ANSWER_HEADERS, max_connections=self._max_connections
@@ -102,7 +132,10 @@
             customers=self._customers,
             peers=self._peers,
             store_time=lambda: self._store.time,
+            started_at=STARTED_AT,
             incarnation=self.incarnation,
+            log=self._log,
+            measures=self._measures,
         )
         self._peers.lender = self._budgets.lender
         self._rollouts = Rollouts(
@@ -120,6 +153,7 @@
             self._book,
             Placer(self._book, ZoneName(settings.zone)),
             self._suspicion,
+            self._log,
             self._rollouts,
         )
         self._dispatcher = Dispatcher(
@@ -133,14 +167,17 @@
             headers=backend_headers,
             retry_window=self._retry_window,
             routers=self._routers,
+            lines=AttemptLines(self._book, self._log, self._measures),
         )
         self._ingress = Ingress(
             self._knowledge,
             self._dispatcher.serve,
             memory_bytes=settings.memory_bytes,
+            ends=RequestEnds(self._log, self._measures),
         )
         await self._peers.start()
         await self._start_ready_port()
+        await self._start_metrics_port()
         self.address = await self._ingress.start(settings.listen)
         await self._budgets.open()
         self._knowledge.on_configuration = self._configured
@@ -157,16 +194,28 @@
     async def stop(self) -> None:
         """Leave without cutting a request that is in flight."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.settings.stop_seconds - STOP_RESERVE_SECONDS
+        began_at = loop.time()
+        last = began_at + self.settings.stop_seconds - LAST_SECONDS
+        end = began_at + self.settings.stop_seconds - STOP_RESERVE_SECONDS
         self.stopping = self._peers.leaving = True
         self._ingress.leaving = True
         await asyncio.sleep(LEAVE_SECONDS)
         await self._ingress.close_port()
         while self._ingress.active and loop.time() < end:
             await asyncio.sleep(POLL_SECONDS)
-        eliot.log_message("leaving", unfinished=self._ingress.active)
-        await self._budgets.close()
-        await self._members.leave()
+        self._log.notice(
+            "stop",
+            "requests ended" if not self._ingress.active else "no time left",
+            seconds=round(loop.time() - began_at, 2),
+            unfinished=self._ingress.active,
+        )
+        try:
+            async with asyncio.timeout_at(last):
+                await self._budgets.close()
+                await self._members.leave()
+        except TimeoutError:
+            # With the store out, tokens can't be returned: the successor does it.
+            self._log.notice("stop", "the store took no leave", lost=self._watch.lost)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -176,15 +225,24 @@
         await self._store.close()
         if self._ready_runner is not None:
             await self._ready_runner.cleanup()
+        if self._metrics_port is not None:
+            await self._metrics_port.stop()
+        await self._budgets.abandon()
 
     def reload(self) -> None:
         """Read the settings file again; a bad one changes nothing."""
         try:
-            self.settings = load_settings()
+            settings = load_settings()
         except SettingsError as error:
-            eliot.log_message("settings_refused", problems=list(error.problems))
+            self._log.reloaded(refused=list(error.problems))
             return
-        eliot.log_message("reloaded")
+        changed = {
+            name: getattr(settings, name)
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self.settings, name)
+        }
+        self.settings = settings
+        self._log.reloaded(changed=changed)
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state of this process for a dump."""
@@ -198,10 +256,31 @@
             "versions": self._knowledge.versions(),
             "store_lost": self._watch.lost,
             "active_requests": self._ingress.active,
+            "servers": {
+                server_id: self._server_state(server_id)
+                for server_id in self._knowledge.servers_by_id
+            },
+            "suspected": self._suspicion.left_out(),
+            "waiting_requests": self._admission.waiting,
+            "lines_left_out": self._log.left_out,
+            "lines_dropped": self._log.dropped,
             "peers": [peer.address for peer in self._peers.alive()],
             "budgets": self._budgets.snapshot(),
         }
 
+    def _server_state(self, server_id: BackendServerId) -> dict[str, Any]:
+        server = self._knowledge.servers_by_id[server_id]
+        view = self._book.view_of(server_id, time.monotonic())
+        return {
+            "service": server.service,
+            "state": server.state.value,
+            "version": server.version,
+            "address": server.address,
+            "slots": server.slots,
+            "running": view.running,
+            "oldest_report_seconds": view.oldest_seconds,
+        }
+
     async def _start_ready_port(self) -> None:
         if not self.settings.ready_listen:
             return
@@ -211,6 +290,38 @@
         await self._ready_runner.setup()
         await web.TCPSite(self._ready_runner, host, int(port)).start()
 
+    async def _start_metrics_port(self) -> None:
+        """Serve metrics; without the port requests are served all the same."""
+        if not self.settings.metrics_listen:
+            return
+        self._metrics_port = MetricsPort(
+            self._measures.registry, refresh=self._refresh, snapshot=self.snapshot
+        )
+        try:
+            self.operator_address = await self._metrics_port.start(
+                self.settings.metrics_listen
+            )
+        except (OSError, ValueError) as error:
+            listen = self.settings.metrics_listen
+            self._log.notice("metrics", str(error), listen=listen)
+
+    def _refresh(self) -> None:
+        """Set the gauges."""
+        measures, knowledge = self._measures, self._knowledge
+        configuration = knowledge.configuration
+        measures.work(active=self._ingress.active, waiting=self._admission.waiting)
+        measures.view(
+            peers=len(self._peers.alive()),
+            servers=knowledge.count_ready(),
+            suspected=len(self._suspicion.left_out()),
+        )
+        measures.configuration(
+            0 if configuration is None else configuration.number,
+            min(self._watch.silent_seconds, MAX_AGE_SECONDS),
+        )
+        measures.store_lost(self._watch.lost)
+        measures.lines_lost(left_out=self._log.left_out, dropped=self._log.dropped)
+
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         ready = not self.stopping and self._knowledge.configuration is not None
         return web.Response(status=200 if ready else 503)
@@ -219,6 +330,7 @@
         """Follow what changed of the backend servers."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
+            self._suspects.look()
             # Entries that lapsed are dropped by time.
             self._knowledge.servers_of("", time.monotonic())
             renewed, self._knowledge.renewed = self._knowledge.renewed, []
@@ -261,3 +373,20 @@
         return RetryWindow(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_seconds
         )
+
+
+def serve() -> None:
+    """Serve until SIGTERM, with the settings of the environment.
+
+    :raises SettingsError: they are bad.
+    """
+    settings = load_settings()
+    incarnation = _new_incarnation(settings)
+    with open_decision_log(
+        settings.instance_id, incarnation, level=settings.log_level
+    ) as log:
+        run_role(EntryRouter(settings, incarnation=incarnation, log=log), log)
+
+
+def _new_incarnation(settings: EntrySettings) -> IncarnationId:
+    return IncarnationId(f"{settings.instance_id}.{uuid.uuid4().hex[:12]}")
--- a/bluebellshore/rollouts/attempt.py
+++ b/bluebellshore/rollouts/attempt.py
@@ -39,12 +39,12 @@
     events: int = 0
     overdue: bool = False
 
-    def event(self, now: float) -> None:
-        """Note that events have come."""
+    def event(self, now: float, events: int = 1) -> None:
+        """Note that events have come. :param events: how many."""
         if self.first_at is None:
             self.first_at = now
         self.last_at = now
-        self.events += 1
+        self.events += events
 
     def count_overdue(self, now: float) -> Counts:
         """Return what counts now that its first event is long due."""
--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -7,28 +7,26 @@
 
 import itertools
 from collections.abc import Iterable
-from typing import NewType
 
 import msgspec
 
 from bluebellshore.fleet import BackendServer, Call, Service
 from bluebellshore.ids import BackendServerId, IncarnationId, PartId, ServiceName
 from bluebellshore.routing.parts import HeldParts, UsedParts
-from bluebellshore.routing.results import Result, ResultCounts
+from bluebellshore.routing.results import Result, ResultCounts, Ticket
 from bluebellshore.routing.speed import FirstEventSample, SpeedBook
 from bluebellshore.routing.suspicion import Suspicion
 
 __all__ = [
     "LoadBook",
     "LoadReport",
+    "LoadView",
     "PartSeen",
     "Result",
     "ServerLoad",
     "Ticket",
 ]
 
-#: Number of an attempt in a :class:`LoadBook`.
-Ticket = NewType("Ticket", int)
 #: A peer's report is dropped after this long without a newer one. Peers report
 #: several times a second.
 REPORT_SECONDS = 2.0
@@ -57,6 +55,20 @@
         self.held_tokens += sign * other.held_tokens
 
 
+class LoadView(msgspec.Struct, frozen=True):
+    """What a choice of a backend server rested on.
+
+    :param running: requests believed to run there.
+    :param youngest_seconds: age of the newest peer's report that counted, None for
+        none.
+    :param oldest_seconds: age of the oldest one.
+    """
+
+    running: int
+    youngest_seconds: float | None = None
+    oldest_seconds: float | None = None
+
+
 class PartSeen(msgspec.Struct, frozen=True):
     """A prompt part that a backend server has read."""
 
@@ -107,6 +119,8 @@
     def __init__(self, suspicion: Suspicion | None = None) -> None:
         self.speeds = SpeedBook()
         self._suspicion = suspicion
+        if suspicion is not None:
+            suspicion.slow_servers = self.speeds.slow_servers
         self._services_by_name: dict[ServiceName, Service] = {}
         self._service_by_server: dict[BackendServerId, ServiceName] = {}
         self._numbers = itertools.count(1)
@@ -117,6 +131,12 @@
         self._parts_by_server: dict[BackendServerId, HeldParts] = {}
         self._used_by_server: dict[BackendServerId, UsedParts] = {}
         self._new_parts: list[PartSeen] = []
+        self._forgotten: set[BackendServerId] = set()
+
+    @property
+    def known_servers(self) -> int:
+        """Backend servers of which something is kept, for metrics."""
+        return len(self._own_by_server.keys() | self._parts_by_server.keys())
 
     def configure(self, services: Iterable[Service]) -> None:
         """Take in what services are; engines' memory bounds what they cache."""
@@ -135,6 +155,7 @@
         """Count an attempt that is about to be sent."""
         self._confirm(now)
         server_id = server.server_id
+        self._forgotten.discard(server_id)
         self.introduce(server)
         cached = self.cached_tokens(call, server_id)
         missing = max(0, call.prompt_tokens - cached)
@@ -210,6 +231,7 @@
             self._unconfirmed.remove(ticket)
         if self._suspicion is not None:
             self._suspicion.forget(ticket)
+        self._drop_idle(attempt.server_id)
 
     def abandon(self, ticket: Ticket, now: float) -> None:
         """Forget an attempt whose caller left, unless it has ended."""
@@ -236,6 +258,19 @@
             total.held_tokens += load.held_tokens
         return total
 
+    def view_of(self, server_id: BackendServerId, now: float) -> LoadView:
+        """Return what is believed to run, and the ages of the reports on it."""
+        ages = [
+            now - received_at
+            for received_at, report in self._reports.values()
+            if server_id in report.loads_by_server
+            and now - received_at < REPORT_SECONDS
+        ]
+        running = self.load_of(server_id, now).running
+        if not ages:
+            return LoadView(running)
+        return LoadView(running, min(ages), max(ages))
+
     def cached_tokens(self, call: Call, server_id: BackendServerId) -> int:
         """Return the tokens of the prompt that a backend server seems to hold."""
         parts = self._parts_by_server.get(server_id)
@@ -270,11 +305,16 @@
             self.speeds.forget(server_id)
             if self._suspicion is not None:
                 self._suspicion.renew(server_id)
-            own = self._own_by_server.get(server_id)
-            if own is not None and not own.running:
-                del self._own_by_server[server_id]
-                self._used_by_server.pop(server_id, None)
-                self._service_by_server.pop(server_id, None)
+            self._forgotten.add(server_id)
+            self._drop_idle(server_id)
+
+    def _drop_idle(self, server_id: BackendServerId) -> None:
+        """Drop a forgotten server once nothing is in hand there."""
+        if server_id in self._forgotten and not self._own(server_id).running:
+            self._forgotten.discard(server_id)
+            self._own_by_server.pop(server_id, None)
+            self._used_by_server.pop(server_id, None)
+            self._service_by_server.pop(server_id, None)
 
     def _own(self, server_id: BackendServerId) -> ServerLoad:
         return self._own_by_server.setdefault(server_id, ServerLoad())
--- a/bluebellshore/routing/suspicion.py
+++ b/bluebellshore/routing/suspicion.py
@@ -6,20 +6,16 @@
 """
 
 import heapq
-from collections.abc import Mapping, Sequence
-from typing import NewType
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
 from bluebellshore.fleet import BackendServer
-from bluebellshore.ids import BackendServerId
-from bluebellshore.routing.results import Result, ResultCounts
+from bluebellshore.ids import BackendServerId, ServiceName
+from bluebellshore.routing.results import Result, ResultCounts, Ticket
 
 __all__ = ["Suspicion"]
 
-#: Same type as a ticket of :class:`bluebellshore.routing.load.LoadBook`.
-_Ticket = NewType("_Ticket", int)
-
 #: Time in which counts of results halve, in seconds.
 HALF_LIFE_SECONDS = 2.0
 #: Share of a service that may be left out at once.
@@ -48,6 +44,8 @@
 #: Streams of one server that, all without an event for the time given, show silence.
 SILENT_STREAMS = 3
 SILENT_SECONDS = 0.8
+#: Slowness above which a server is left out, until what showed it is too old to count.
+SLOW_LIMIT = 2.5
 #: Connections that break within this time break by one crash.
 CRASH_SECONDS = 0.2
 
@@ -69,6 +67,7 @@
     pending: int = 0
     streaming: int = 0
     event_at: float = float("-inf")
+    renewed: bool = False
 
     def fade(self, now: float) -> None:
         """Let counts grow old."""
@@ -90,12 +89,18 @@
     """Leaves servers out by evidence and brings them back by few requests.
 
     Every method takes `now` in monotonic seconds.
+
+    :ivar slow_servers: returns how many times slower servers of a service are than
+        their peers; a :class:`bluebellshore.routing.load.LoadBook` sets it.
     """
 
     def __init__(self) -> None:
+        self.slow_servers: Callable[
+            [ServiceName, float], Mapping[BackendServerId, float]
+        ] = lambda service, now: {}
         self._watches: dict[BackendServerId, _Watch] = {}
-        self._pending: dict[_Ticket, _Pending] = {}
-        self._due: list[tuple[float, _Ticket]] = []
+        self._pending: dict[Ticket, _Pending] = {}
+        self._due: list[tuple[float, Ticket]] = []
         self._new: dict[BackendServerId, ResultCounts] = {}
         self._sees_progress = False
 
@@ -108,7 +113,15 @@
         come back first.
         """
         self._count_overdue(now)
-        suspects = [s for s in servers if self._is_suspect(s, servers, now)]
+        slow = self.slow_servers(servers[0].service, now) if servers else {}
+        suspects = [
+            s
+            for s in servers
+            if slow.get(s.server_id, 1.0) > SLOW_LIMIT
+            or (s.server_id in self._watches and self._is_suspect(s, servers, now))
+        ]
+        if not suspects:
+            return list(servers)
         room = int(len(servers) * MOST_LEFT_OUT)
         if len(suspects) > room:
             suspects.sort(key=lambda s: self._watch(s.server_id).until, reverse=True)
@@ -120,9 +133,21 @@
         """Return the servers under suspicion, for metrics."""
         return [key for key, watch in self._watches.items() if watch.out]
 
+    def evidence(self, server_id: BackendServerId) -> dict[str, float]:
+        """Return what a server is judged by; counts fade with time."""
+        watch = self._watch(server_id)
+        return {
+            "good": round(watch.good, 2),
+            "bad": round(watch.bad, 2),
+            "lost_streak": watch.lost_streak,
+            "pending": watch.pending,
+            "streaming": watch.streaming,
+            "pause_seconds": watch.pause,
+        }
+
     def begin(
         self,
-        ticket: _Ticket,
+        ticket: Ticket,
         server_id: BackendServerId,
         expected_seconds: float,
         now: float,
@@ -137,7 +162,7 @@
             watch.probed_at = now
             watch.probing.add(ticket)
 
-    def event(self, ticket: _Ticket, now: float) -> None:
+    def event(self, ticket: Ticket, now: float) -> None:
         """Note an event of an attempt.
 
         Only a further event shows that the server lives: the end of an attempt that
@@ -159,7 +184,7 @@
                 self._note_life(watch, pending, ticket, now)
 
     def _note_life(
-        self, watch: _Watch, pending: _Pending, ticket: _Ticket, now: float
+        self, watch: _Watch, pending: _Pending, ticket: Ticket, now: float
     ) -> None:
         """Take an event of a server that is left out as a probe's answer.
 
@@ -172,7 +197,7 @@
             watch.until = min(watch.until, now)
             watch.pause = FIRST_PAUSE_SECONDS
 
-    def forget(self, ticket: _Ticket) -> None:
+    def forget(self, ticket: Ticket) -> None:
         """Stop watching an attempt; its result is recorded apart."""
         pending = self._pending.pop(ticket, None)
         if pending is not None:
@@ -180,6 +205,8 @@
             watch.probing.discard(ticket)
             watch.pending -= 1
             watch.streaming -= pending.streaming
+            if watch.renewed and not watch.pending:
+                del self._watches[pending.server_id]
 
     def record(
         self, server_id: BackendServerId, result: Result, seconds: float, now: float
@@ -217,8 +244,9 @@
         """Forget a server that is gone or began anew."""
         watch = self._watches.get(server_id)
         if watch is not None:
-            fresh = _Watch(pending=watch.pending, streaming=watch.streaming)
-            self._watches[server_id] = fresh
+            self._watches[server_id] = _Watch(
+                pending=watch.pending, streaming=watch.streaming, renewed=True
+            )
             if not watch.pending:
                 del self._watches[server_id]
 
@@ -264,9 +292,7 @@
     def _is_suspect(
         self, server: BackendServer, servers: Sequence[BackendServer], now: float
     ) -> bool:
-        watch = self._watches.get(server.server_id)
-        if watch is None:
-            return False
+        watch = self._watches[server.server_id]
         if not watch.out and self._has_failed(watch, server, servers, now):
             watch.out = True
             watch.until = now + watch.pause
@@ -304,7 +330,7 @@
 
     def _may_probe(self, server: BackendServer, now: float) -> bool:
         watch = self._watch(server.server_id)
-        if now < watch.until:
+        if now < watch.until or not watch.out:
             return False
         if now - watch.probed_at > PROBE_SECONDS:
             return True
--- a/bluebellshore/store/__init__.py
+++ b/bluebellshore/store/__init__.py
@@ -1,6 +1,6 @@
 """The platform's services as the fleet sees them."""
 
-from bluebellshore.store.http import HttpPlatform
+from bluebellshore.store.instances import TableInstances
 from bluebellshore.store.interface import (
     ABSENT,
     FeedingTable,
@@ -27,7 +27,6 @@
 __all__ = [
     "ABSENT",
     "FeedingTable",
-    "HttpPlatform",
     "Instance",
     "InstanceList",
     "InstanceRole",
@@ -41,6 +40,7 @@
     "Row",
     "StoreTime",
     "TableChange",
+    "TableInstances",
     "TableService",
     "TableSnapshot",
     "Write",
--- a/tests/test_backend_direct.py
+++ b/tests/test_backend_direct.py
@@ -1,63 +1,25 @@
-"""Direct requests to backend servers: what was sent, and whose answer it is."""
+"""Direct requests to backend servers: what is sent, and whose answer it is."""
 
 import asyncio
 import socket
-import unittest
 
-import uvloop
-
-from bluebellshore.backend import AnswerHeaders, AttemptError, BackendRequest, Outcome
+from bluebellshore.backend import AttemptError, Outcome
+from bluebellshore.backend.connection import (
+    USER_TIMEOUT_MS,
+    ConnectionContext,
+    open_connection,
+)
 from bluebellshore.backend.direct import DirectBackend
+from tests.backend_case import HEADERS, BackendCase, UvloopCase, request
 from tests.scripted_server import (
     ATTEMPT,
     NOT_RUN,
-    SIGNATURE,
+    RESET_ON_CLOSE,
     Peer,
     answer,
     scripted_server,
 )
 
-HEADERS = AnswerHeaders(ATTEMPT, NOT_RUN, SIGNATURE)
-
-
-def request(attempt_id: str = "a1", **fields) -> BackendRequest:
-    return BackendRequest(
-        **{
-            "method": "GET",
-            "target": "/x/y",
-            "host": "h.example",
-            "headers": [(ATTEMPT, attempt_id)],
-            "body": b"",
-            "attempt_id": attempt_id,
-            "head_seconds": 20.0,
-            **fields,
-        }
-    )
-
-
-class BackendCase(unittest.IsolatedAsyncioTestCase):
-    """Tests with a backend that may open `limit` connections to each server."""
-
-    limit = 8
-
-    async def asyncSetUp(self):
-        self.backend = DirectBackend(HEADERS, max_connections=lambda _: self.limit)
-        self.addAsyncCleanup(self.backend.close)
-
-    async def fetch(self, server, sent=None):
-        async with self.backend.send(server.entry(), sent or request()) as found:
-            body = b"".join([data async for data in found.chunks()])
-            return found.status, body
-
-    async def failing(self, server, sent=None) -> AttemptError:
-        with self.assertRaises(AttemptError) as caught:
-            await self.fetch(server, sent)
-        return caught.exception
-
-    @property
-    def counts(self):
-        return self.backend.snapshot()["counts"]
-
 
 class RequestTests:
     """What goes out."""
@@ -121,6 +83,7 @@
             for one in crowd:
                 one.setblocking(False)
                 one.connect_ex(full.getsockname())
+            self.backend = DirectBackend(HEADERS, max_connections=lambda _: 1)
             async with scripted_server(self.idle) as server:
                 server.port = full.getsockname()[1]
                 error = await self.failing(server)
@@ -139,6 +102,32 @@
         self.assertIs(error.outcome, Outcome.UNKNOWN)
         self.assertTrue(error.reset)
 
+    async def test_break_before_the_first_byte(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            context = ConnectionContext(ATTEMPT, 30.0)
+            connection = await open_connection(host, port, context)
+            end, _ = listener.accept()
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            end.close()
+            with self.assertRaises(AttemptError) as caught:
+                connection.start(b"GET / HTTP/1.1\r\n\r\n", b"", "a1", "GET")
+            await connection.lost
+        self.assertIs(caught.exception.outcome, Outcome.NOT_SENT)
+        self.assertTrue(caught.exception.reset)
+
+    async def test_peer_that_is_gone_breaks_the_connection(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            context = ConnectionContext(ATTEMPT, 30.0)
+            connection = await open_connection(host, port, context)
+            limit = connection._sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+            connection.close()
+            await connection.lost
+        self.assertEqual(limit, USER_TIMEOUT_MS)
+
     async def test_silence_after_the_request(self):
         async def script(peer: Peer):
             await peer.head()
@@ -154,57 +143,6 @@
         self.assertFalse(error.reset)
 
 
-class BodyTests:
-    """Which bodies are whole."""
-
-    async def once(self, data: bytes, *, reset: bool = False):
-        async def script(peer: Peer):
-            await peer.head()
-            await peer.send(data)
-            if reset:
-                await read.wait()
-                peer.reset()
-
-        read = asyncio.Event()
-        body = b""
-        async with scripted_server(script) as server:
-            async with self.backend.send(server.entry(), request()) as found:
-                async for piece in found.chunks():
-                    body += piece
-                    read.set()
-        return body
-
-    async def test_lengths(self):
-        chunked = ("Transfer-Encoding: chunked",)
-        whole = answer("a1", b"5\r\nhello\r\n0\r\n\r\n", headers=chunked, length=None)
-        self.assertEqual(await self.once(answer("a1", b"hello")), b"hello")
-        self.assertEqual(await self.once(whole), b"hello")
-        self.assertEqual(await self.once(answer("a1", b"hello", length=None)), b"hello")
-        self.assertEqual(await self.once(answer("a1", status=204, length=None)), b"")
-        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n"
-        self.assertEqual(await self.once(interim + answer("a1", b"hello")), b"hello")
-
-    async def test_broken_bodies(self):
-        chunked = ("Transfer-Encoding: chunked",)
-        for data in (
-            answer("a1", b"hell", length=5),
-            answer("a1", b"5\r\nhello\r\n", headers=chunked, length=None),
-            answer("a1", b"5\r\nhello\r\nzz\r\n", headers=chunked, length=None),
-            b"\x00\x01garbage\r\n\r\n",
-            b"HTTP/1.1 200 OK\r\n",
-            b"",
-        ):
-            with self.subTest(data=data), self.assertRaises(AttemptError) as caught:
-                await self.once(data)
-            self.assertIs(caught.exception.outcome, Outcome.UNKNOWN)
-
-    async def test_reset_of_an_answer_without_length_is_no_end(self):
-        with self.assertRaises(AttemptError) as caught:
-            await self.once(answer("a1", b"hello", length=None), reset=True)
-        self.assertTrue(caught.exception.reset)
-        self.assertIs(caught.exception.outcome, Outcome.UNKNOWN)
-
-
 class OwnerTests:
     """Whose answer it is."""
 
@@ -253,80 +191,52 @@
             found = await self.one(answer("a1", b"x", status=status, signed=False))
             self.assertEqual(found, (status, b"x"))
 
-    async def test_not_the_servers_answer(self):
+    async def test_no_answer_can_follow(self):
+        upgrade = b"HTTP/1.1 101 Switch\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
         for data in (
-            answer("a1", b"x", signed=False),
-            answer("a1", b"x", headers=("Content-Encoding: gzip",)),
+            answer("a0", b"late", headers=("Connection: close",)),
+            upgrade + answer("a1", b"x"),
+            b"HTTP/1.1 200 OK\r\nA: " + b"x" * 200_000,
         ):
             error = await self.refused(data)
             self.assertIs(error.outcome, Outcome.UNKNOWN)
-            self.assertIn("not the backend server's answer", str(error))
-
-
-class PoolTests:
-    """Which connections are used again."""
-
-    async def serve(self, *answers: bytes, calls: int = 2):
-        """Answer each request with the next of `answers`.
+            self.assertIn("not an answer", str(error))
 
-        :return: connections that it took.
-        """
-        rest = list(answers)
-
-        async def script(peer: Peer):
-            while True:
-                try:
-                    await peer.head()
-                except (asyncio.IncompleteReadError, ConnectionError):
-                    return
-                await peer.send(rest.pop(0))
-
-        async with scripted_server(script) as server:
-            for number in range(calls):
-                await self.fetch(server, request(f"a{number}"))
-            return len(server.peers)
-
-    async def test_kept(self):
-        self.assertEqual(await self.serve(answer("a0", b"x"), answer("a1", b"y")), 1)
-
-    async def test_not_kept(self):
-        for data in (
-            answer("a0", b"x", headers=("Connection: close",)),
-            answer("a0", b"x").replace(b"HTTP/1.1", b"HTTP/1.0"),
-            answer("a0", b"x", headers=("Keep-Alive: timeout=0",)),
-            answer("a0", b"x") + b"HT",
-            answer("a0", b"x") + answer("a1", b"wrong"),
-            answer("a0", b"x") + b"\x00\x01",
-        ):
-            with self.subTest(data=data):
-                self.assertEqual(await self.serve(data, answer("a1", b"y")), 2)
+    async def test_refusal_without_id(self):
+        refusal = answer(None, b"x", status=503, headers=(f"{NOT_RUN}: 1",))
 
-    async def test_leaving_early_closes(self):
         async def script(peer: Peer):
             await peer.head()
-            await peer.send(answer("a1", b"part", length=100))
+            await peer.send(answer("a0", b"ok"))
+            await peer.head()
+            await peer.send(refusal)
             await peer.ended()
-            gone.set()
 
-        gone = asyncio.Event()
+        # On a connection of its own it can only be this request's.
+        self.assertIs((await self.refused(refusal)).outcome, Outcome.NOT_RUN)
         async with scripted_server(script) as server:
-            async with self.backend.send(server.entry(), request()) as found:
-                self.assertEqual(await anext(found.chunks()), b"part")
-                self.assertFalse(gone.is_set())
-            await gone.wait()
-
+            entry = server.entry(server_id="b2")
+            async with self.backend.send(entry, request("a0")) as found:
+                self.assertEqual(await anext(found.chunks()), b"ok")
+            with self.assertRaises(AttemptError) as caught:
+                async with self.backend.send(entry, request("a1")):
+                    self.fail("no answer came")
+            self.assertEqual(len(server.peers), 1)
+        self.assertIs(caught.exception.outcome, Outcome.UNKNOWN)
 
-class DefaultLoopTests(RequestTests, BodyTests, OwnerTests, PoolTests, BackendCase):
-    """All of them on asyncio's own loop."""
+    async def test_not_the_servers_answer(self):
+        for data in (
+            answer("a1", b"x", signed=False),
+            answer("a1", b"x", headers=("Content-Encoding: gzip",)),
+        ):
+            error = await self.refused(data)
+            self.assertIs(error.outcome, Outcome.UNKNOWN)
+            self.assertIn("not the backend server's answer", str(error))
 
 
-class UvloopTests(RequestTests, BodyTests, OwnerTests, PoolTests, BackendCase):
-    """All of them on uvloop."""
+class DefaultLoopTests(RequestTests, OwnerTests, BackendCase):
+    """On asyncio's own loop."""
 
-    @classmethod
-    def setUpClass(cls):
-        asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
 
-    @classmethod
-    def tearDownClass(cls):
-        asyncio.set_event_loop_policy(None)
+class UvloopTests(RequestTests, OwnerTests, UvloopCase):
+    """On uvloop."""
--- a/tests/test_entry_rollouts.py
+++ b/tests/test_entry_rollouts.py
@@ -7,12 +7,11 @@
 from bluebellshore.entry.knowledge import Knowledge, Orders
 from bluebellshore.entry.rollout_messages import read_reports, write_reports
 from bluebellshore.entry.rollouts import Rollouts
+from bluebellshore.experiments.rollout_cases import CASES, Case
 from bluebellshore.experiments.rollouts import (
-    CASES,
     NEW,
     OLD,
     SERVICE,
-    Case,
     Outcome,
     make_call,
     make_servers,
--- a/tests/test_routing_suspicion.py
+++ b/tests/test_routing_suspicion.py
@@ -114,6 +114,14 @@
         self.suspicion.renew("engines-1")
         self.assertEqual(self.usable(), [0, 1, 2, 3])
 
+    def test_much_slower_servers_are_left_out(self):
+        self.suspicion.slow_servers = lambda service, now: {"engines-2": 4.0}
+        self.assertEqual(self.usable(), [0, 1, 3])
+        self.suspicion.slow_servers = lambda service, now: {
+            server.server_id: 4.0 for server in self.servers
+        }
+        self.assertEqual(len(self.usable()), 2)
+
     def test_counts_fade(self):
         self.suspicion.merge({"engines-1": ResultCounts(bad=3.0)}, 0.0)
         self.now = 30.0
