--- a/bluebellshore/rollouts/plan.py
+++ b/bluebellshore/rollouts/plan.py
@@ -29,7 +29,7 @@
 STEP_SECONDS = (0.8, 3.0)
 #: Time with all traffic moved until the completion is written, and the part of it
 #: for which there must be exposure left to stay there.
-FULL_SECONDS = 1.8
+FULL_SECONDS = 1.6
 REACTION_SECONDS = 0.25
 #: Most of the first share, for services with few requests.
 MOST_FIRST_SHARE = 0.25
--- a/bluebellshore/rollouts/routes.py
+++ b/bluebellshore/rollouts/routes.py
@@ -12,8 +12,9 @@
 LEAST_RESULTS = 20
 LEAST_ROUTE_RESULTS = 12
 ROUTE_PART = 0.05
-#: Part of a route's requests that suffices where there are few.
-FEW_PART = 0.25
+#: Part of a route's requests, and least answers, that suffice where there are few.
+FEW_PART = 0.1
+FEW_RESULTS = 4
 #: Multiple of the share that a route with few requests gets at most, the share up to
 #: which it does, and the most that it so gets.
 MOST_WEIGHT = 5.0
@@ -30,12 +31,16 @@
         return False
     least = ROUTE_PART * sent.total()
     return all(
-        results[route] >= min(LEAST_ROUTE_RESULTS, FEW_PART * count)
+        results[route] >= _least_results(count)
         for route, count in sent.items()
         if count >= least
     )
 
 
+def _least_results(requests: int) -> float:
+    return min(LEAST_ROUTE_RESULTS, max(FEW_RESULTS, FEW_PART * requests))
+
+
 def route_weights(counts_by_key: dict[Key, Counts]) -> dict[RouteName, float]:
     """Return the multiple of the share for each route.
 
