--- a/bluebellshore/rollouts/plan.py
+++ b/bluebellshore/rollouts/plan.py
@@ -4,7 +4,7 @@
 
 from bluebellshore.moves.judge import Opinion
 
-__all__ = ["SharePlan", "Situation", "late"]
+__all__ = ["SharePlan", "Situation", "first_requests", "late"]
 
 #: Share before the rate of requests is known.
 FIRST_SHARE = 0.02
@@ -52,10 +52,10 @@
     seconds: float
     exposed: int
     requests: int
-    has_results: bool
     opinion: Opinion
     exposure_share: float
     exposure_extra: float
+    has_results: bool = False
     may_finish: bool = True
 
     @property
@@ -72,6 +72,12 @@
         return USED_PART * allowed
 
 
+def first_requests(situation: Situation) -> float:
+    """Return the requests that the target version is to get at its first share."""
+    spare = situation.allowed - _ramp_requests(situation)
+    return max(FIRST_PART * situation.allowed, SPARE_PART * spare)
+
+
 def late(situation: Situation) -> bool:
     """Return whether it is time to go back."""
     reserve = max(RESERVE_SECONDS, RESERVE_PART * situation.seconds)
@@ -110,9 +116,8 @@
         if situation.age < LEARN_SECONDS or not situation.requests:
             return FIRST_SHARE
         seconds = max(LEARN_SECONDS, _ramp_at(situation))
-        spare = situation.allowed - _ramp_requests(situation)
-        requests = max(FIRST_PART * situation.allowed, SPARE_PART * spare)
-        return min(MOST_FIRST_SHARE, requests / (situation.rate * seconds))
+        share = first_requests(situation) / (situation.rate * seconds)
+        return min(MOST_FIRST_SHARE, share)
 
     def _next(self, situation: Situation) -> int | None:
         """Return the step that begins now; None to stay.
--- a/bluebellshore/rollouts/routes.py
+++ b/bluebellshore/rollouts/routes.py
@@ -8,13 +8,12 @@
 __all__ = ["has_results", "route_share", "route_weights"]
 
 #: Answers of the target version without which its share stays low: in all, and on each
-#: route with at least this part of the requests.
+#: route with at least this part of the requests, where as many are expected.
 LEAST_RESULTS = 20
-LEAST_ROUTE_RESULTS = 12
+ROUTE_RESULTS = (4, 20)
 ROUTE_PART = 0.05
-#: Part of a route's requests, and least answers, that suffice where there are few.
-FEW_PART = 0.1
-FEW_RESULTS = 4
+#: Part of a route's expected answers that suffices.
+EXPECTED_PART = 0.6
 #: Multiple of the share that a route with few requests gets at most, the share up to
 #: which it does, and the most that it so gets.
 MOST_WEIGHT = 5.0
@@ -24,21 +23,18 @@
 LEAST_REQUESTS = 30
 
 
-def has_results(counts_by_key: dict[Key, Counts]) -> bool:
-    """Return whether the target version's answers suffice for an opinion."""
+def has_results(counts_by_key: dict[Key, Counts], expected: float) -> bool:
+    """Return whether the target version's answers suffice for an opinion.
+
+    :param expected: answers on all routes together while the share is low.
+    """
     sent, results = _by_route(counts_by_key)
     if results.total() < LEAST_RESULTS:
         return False
-    least = ROUTE_PART * sent.total()
-    return all(
-        results[route] >= _least_results(count)
-        for route, count in sent.items()
-        if count >= least
-    )
-
-
-def _least_results(requests: int) -> float:
-    return min(LEAST_ROUTE_RESULTS, max(FEW_RESULTS, FEW_PART * requests))
+    routes = [route for route in sent if sent[route] >= ROUTE_PART * sent.total()]
+    least, most = ROUTE_RESULTS
+    wanted = min(most, max(least, EXPECTED_PART * expected / len(sent)))
+    return all(results[route] >= wanted for route in routes)
 
 
 def route_weights(counts_by_key: dict[Key, Counts]) -> dict[RouteName, float]:
--- a/bluebellshore/rollouts/track.py
+++ b/bluebellshore/rollouts/track.py
@@ -17,7 +17,7 @@
 from bluebellshore.rollouts.attempt import Attempt
 from bluebellshore.rollouts.evidence import Counts, Evidence, Key
 from bluebellshore.rollouts.judge import assess, overdue_seconds
-from bluebellshore.rollouts.plan import SharePlan, Situation, late
+from bluebellshore.rollouts.plan import SharePlan, Situation, first_requests, late
 from bluebellshore.rollouts.routes import has_results, route_share, route_weights
 from bluebellshore.rollouts.state import RolloutRecord, RolloutState
 
@@ -244,17 +244,18 @@
     def _see(self, now: float, *, may_finish: bool) -> Situation:
         exposed, requests = self.evidence.sent()
         whole = self.evidence.span(now, None)
-        return Situation(
+        situation = Situation(
             age=self.age(now),
             seconds=self.order.seconds,
             exposed=exposed,
             requests=requests,
-            has_results=has_results(whole),
             opinion=Opinion.BAD if self.bad else self._opinion.opinion,
             exposure_share=self._exposure.share,
             exposure_extra=self._exposure.extra,
             may_finish=may_finish and self.record is not None,
         )
+        enough = has_results(whole, first_requests(situation))
+        return msgspec.structs.replace(situation, has_results=enough)
 
     def _running(self) -> int:
         return sum(1 for a in self._attempts.values() if not a.key.target)
