--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -8,6 +8,7 @@
 
 from bluebellshore.decisions import DecisionLog, silent_log
 from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.errors import OverloadError
 from bluebellshore.fleet import Call
 from bluebellshore.ids import BackendServerId, ServiceName
@@ -74,12 +75,14 @@
         placer: Placer,
         suspicion: Suspicion,
         log: DecisionLog | None = None,
+        rollouts: Rollouts | None = None,
     ):
         self._log = log or silent_log()
         self._knowledge = knowledge
         self._book = book
         self._placer = placer
         self._suspicion = suspicion
+        self._rollouts = rollouts
         self._queues: dict[ServiceName, WaitingQueue] = {}
         self._waiting: dict[str, _Waiting] = {}
 
@@ -217,6 +220,8 @@
         now: float,
     ) -> _Choice:
         servers = self._knowledge.servers_of(service, now)
+        if self._rollouts is not None:
+            servers = self._rollouts.candidates(call, servers, now)
         usable = self._suspicion.usable(servers, now)
         decision = self._placer.place(call, usable, now, tried)
         if isinstance(decision, Refuse) and tried:
--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -19,10 +19,12 @@
 from bluebellshore.entry.attempt_lines import AttemptLines
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
+from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.entry.trace import Trace
 from bluebellshore.errors import OverloadError, RefusedError, RunState
 from bluebellshore.fleet import BackendServer, Call, RouteKind
 from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
+from bluebellshore.rollouts import Attempt
 from bluebellshore.routing.crashing import CrashLedger
 from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.repeats import Next, next_step
@@ -77,6 +79,7 @@
         self.may_have_run = False
         self.tried: set[BackendServerId] = set()
         self.relay: StreamRelay | None = None
+        self.attempt: Attempt | None = None
 
     @property
     def began(self) -> bool:
@@ -106,12 +109,14 @@
         routers: Callable[[], int],
         lines: AttemptLines | None = None,
         crashes: CrashLedger | None = None,
+        rollouts: Rollouts | None = None,
     ):
         self._lines = lines or AttemptLines(book)
         self._knowledge = knowledge
         self._book = book
         self._admission = admission
         self._suspicion = suspicion
+        self._rollouts = rollouts
         self._backend = backend
         self._budgets = budgets
         self._headers = headers
@@ -287,6 +292,8 @@
         loop = asyncio.get_running_loop()
         server, ticket = admitted.place.server, admitted.ticket
         result, first_seconds = Result.LEFT, 0.0
+        if self._rollouts is not None:
+            progress.attempt = self._rollouts.begin(call, server, loop.time())
         try:
             request = self._request(call, server, progress, loop.time())
             async with self._backend.send(server, request) as answer:
@@ -307,6 +314,8 @@
                 first_seconds = self._book.first_event(ticket, now)
             self._book.end(ticket, result, now, self._output_tokens(call, progress))
             self._suspicion.record(server.server_id, result, first_seconds, now)
+            if progress.attempt is not None:
+                self._rollouts.end(server.service, progress.attempt, result, now)
             if result is Result.LEFT:
                 progress.may_have_run = True
 
@@ -354,6 +363,8 @@
         def on_event(events: int) -> None:
             nonlocal began
             now = loop.time()
+            if progress.attempt is not None:
+                progress.attempt.event(now, events)
             self._lines.events(call, progress.trace, events, sink.behind_bytes, now)
             if not began:
                 began = True
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -20,6 +20,7 @@
 from bluebellshore.entry.members import Members
 from bluebellshore.entry.metrics_port import MetricsPort
 from bluebellshore.entry.peers import Peers
+from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.entry.settings import EntrySettings
 from bluebellshore.entry.suspects import SuspectLines
 from bluebellshore.entry.trace import RequestEnds
@@ -37,6 +38,7 @@
 from bluebellshore.platform.requests import ANSWER_HEADERS, backend_headers
 from bluebellshore.platform.settings import load_settings
 from bluebellshore.platform.store import PlatformStore
+from bluebellshore.rollouts import Exposure
 from bluebellshore.routing.crashing import CrashLedger
 from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.placement import Placer
@@ -139,12 +141,23 @@
             measures=self._measures,
         )
         self._peers.lender = self._budgets.lender
+        self._rollouts = Rollouts(
+            self._knowledge,
+            self._store,
+            self.incarnation,
+            Exposure(settings.exposure_share, settings.exposure_extra),
+            peers=self._peers.serving,
+            store_lost=lambda: self._watch.lost,
+            store_seconds=self._store_seconds,
+        )
+        self._peers.rollouts = self._rollouts
         self._admission = Admission(
             self._knowledge,
             self._book,
             Placer(self._book, ZoneName(settings.zone)),
             self._suspicion,
             self._log,
+            self._rollouts,
         )
         self._dispatcher = Dispatcher(
             knowledge=self._knowledge,
@@ -152,6 +165,7 @@
             crashes=self._crashes,
             admission=self._admission,
             suspicion=self._suspicion,
+            rollouts=self._rollouts,
             backend=self._backend,
             budgets=self._budgets,
             headers=backend_headers,
@@ -176,6 +190,7 @@
             self._peers.run(),
             self._members.run(),
             self._admission.run(),
+            self._rollouts.run(),
             self._tick(),
         )
         self._tasks = [asyncio.create_task(loop) for loop in loops]
@@ -341,6 +356,12 @@
         configuration = self._knowledge.configuration
         return [] if configuration is None else list(configuration.customers_by_id)
 
+    def _store_seconds(self) -> float | None:
+        shown = self._store.time
+        if shown is None:
+            return None
+        return shown.store_seconds + time.monotonic() - shown.local_seconds
+
     def _routers(self) -> int:
         return max(1 + len(self._peers.alive()), self._members.listed)
 
--- a/bluebellshore/moves/judge.py
+++ b/bluebellshore/moves/judge.py
@@ -23,6 +23,7 @@
     "Opinion",
     "assess",
     "assess_latest",
+    "wilson_upper",
 ]
 
 #: Spans of time that are judged: short ones for what breaks suddenly, long ones for
--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -283,10 +283,14 @@
     def report(self) -> LoadReport:
         """Return what peers are told; parts and results are told once."""
         parts, self._new_parts = self._new_parts, []
-        loads = {key: load for key, load in self._own_by_server.items() if load.running}
+        loads = self.own_loads()
         results = {} if self._suspicion is None else self._suspicion.take_counts()
         return LoadReport(loads, parts, results)
 
+    def own_loads(self) -> dict[BackendServerId, ServerLoad]:
+        """Return own work in hand; idle servers are left out."""
+        return {key: load for key, load in self._own_by_server.items() if load.running}
+
     def merge(self, peer: IncarnationId, report: LoadReport, now: float) -> None:
         """Take in a peer's report."""
         self._reports[peer] = (now, report)
--- a/bluebellshore/routing/results.py
+++ b/bluebellshore/routing/results.py
@@ -41,3 +41,9 @@
     good: float = 0.0
     bad: float = 0.0
     lost: float = 0.0
+
+    def add(self, other: "ResultCounts") -> None:
+        """Add other counts."""
+        self.good += other.good
+        self.bad += other.bad
+        self.lost += other.lost
