--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -108,13 +108,8 @@
         retry_window: Callable[[], RetryWindow],
         routers: Callable[[], int],
         lines: AttemptLines | None = None,
-<<<<<<< HEAD
         crashes: CrashLedger | None = None,
         rollouts: Rollouts | None = None,
-=======
-        rollouts: Rollouts | None = None,
-        crashes: CrashLedger | None = None,
->>>>>>> rollouts
     ):
         self._lines = lines or AttemptLines(book)
         self._knowledge = knowledge
