Kill the router once its calls run, not after a fixed time

IncarnationTest.test_killed_router_loses_no_bill_and_its_tokens_return failed now and then with 51 settled where 54 were expected.

Cause: the test. It killed the router 0.4 s after four calls were made and took it that all four had reached an engine by then. 51 is one whole bill (1 + 50 tokens), 54 is 50 generated tokens and 4 prompts: three calls had never left the router.

Ruled out: a lost bill or a fault of reclaim, batches or receipts, since the count of begun calls and the count of bills agree in the failing run as well.

Now the kill waits until the engines have begun four calls, runs last 2.5 s so that they outlast the router, and none is cut off as an orphan, where an engine may have generated what its sidecar has not read. The test also says that no call ran twice.

--- a/tests/test_failures_incarnations.py
+++ b/tests/test_failures_incarnations.py
@@ -46,8 +46,11 @@
             self.assertEqual(await paused.terminate(), 0)
 
     async def test_killed_router_loses_no_bill_and_its_tokens_return(self):
+        # Runs outlast their router, and none is cut off as an orphan.
         async with open_system(
-            services=0, engine={"between_tokens_seconds": 0.02}
+            services=0,
+            engine={"between_tokens_seconds": 0.05},
+            sidecar={"orphan_seconds": 60.0},
         ) as system:
             killed, other = system.routers
             victim = system.caller(urls=[f"http://{killed.address}"])
@@ -57,7 +60,11 @@
                 )
                 for n in range(4)
             ]
-            await asyncio.sleep(0.4)
+
+            async def all_began() -> bool:
+                return (await system.executions()).total() == len(calls)
+
+            await wait_until(all_began, "all calls to begin on an engine")
             await killed.kill()
             for call in calls:
                 call.cancel()
@@ -77,6 +84,7 @@
             for engine in system.engines:
                 stats = await system.control(engine, "/control/stats")
                 generated += stats["tokens_generated"]
+            self.assertEqual((await system.executions()).total(), len(calls))
             budget = await caller.budget()
             self.assertEqual(budget["settled"], generated + len(calls) * PROMPT_TOKENS)
 
