Count waiting requests into the burn rate before the grant, not after it

MoneyTest.test_stock_checks_go_on_without_the_platform failed now and then: some checks were refused in the outage with 503, "the table service gives no tokens".

A router's first grant of a budget was what its waiting requests lacked and no more, since the burn rate counts a request only once it is reserved, which is after the grant. The stock for an outage came with the next transaction, a settlement (0.5 s by default, more under conflicts) or heartbeat later. A router whom the outage met in between had served, and was left with no tokens.

Ruled out: a router that served nothing (both served 2 checks, each at the first try), caps (8192), links, and tokens given back as idle (60 s).

Waiting requests now count as spent when a grant is worked out; what the router holds after it is what it would hold after the next settlement. Bounds of a grant (share of the rest, what others want, a grant that leaves all waiting) are as before. The accountant's test failed first: the second request was refused.

Rates of refusal in virtual time: not measured here.

--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -230,8 +230,8 @@
         billed = sum(b.tokens for b in transaction.bills if b.budget == budget)
         budget_row.settled += billed
         own.outstanding -= billed
-        view = self._view(budget, budget_row, prepaid_total, now)
         demand = request.demands_by_budget.get(budget)
+        view = self._view(budget, budget_row, prepaid_total, demand, now)
         wants = self._wanted(budget, budget_row, now)
         surplus = self._surplus(view, wants, demand, request)
         if surplus:
@@ -255,14 +255,20 @@
             transaction.writes.append(Write(key, version, encode_row(budget_row)))
 
     def _view(
-        self, budget: BudgetId, row: BudgetRow, prepaid_total: Tokens, now: float
+        self,
+        budget: BudgetId,
+        row: BudgetRow,
+        prepaid_total: Tokens,
+        demand: Demand | None,
+        now: float,
     ) -> AllotmentView:
         account = self._book.account(budget)
+        waiting = Tokens(0) if demand is None else demand.total
         return AllotmentView(
             unallotted=row.unallotted(prepaid_total),
             holders=len(row.allotments),
             free=Tokens(account.free),
-            burn=account.burn.rate(now),
+            burn=account.burn.rate(now, waiting),
             idle_seconds=now - account.reserved_at,
             rest=Tokens(max(0, prepaid_total - row.settled - row.held())),
         )
--- a/bluebellshore/budget/policy.py
+++ b/bluebellshore/budget/policy.py
@@ -40,7 +40,8 @@
     :param rest: tokens that are not billed, held or not.
     :param holders: incarnations with an entry in the row, this one included.
     :param free: tokens held here and not reserved.
-    :param burn: tokens a second reserved here lately.
+    :param burn: tokens a second reserved here lately or asked for by waiting
+        requests, so that the first grant is followed by no gap.
     :param need: tokens that waiting requests lack.
     :param idle_seconds: time since the last reservation here.
     """
@@ -77,9 +78,12 @@
         self._sum = self._decayed(now) + tokens
         self._updated_at = now
 
-    def rate(self, now: float) -> float:
-        """Return tokens a second."""
-        return self._decayed(now) / self._window_seconds
+    def rate(self, now: float, waiting: float = 0) -> float:
+        """Return tokens a second.
+
+        :param waiting: tokens about to be spent, counted as if they were already.
+        """
+        return (self._decayed(now) + waiting) / self._window_seconds
 
     def _decayed(self, now: float) -> float:
         if self._updated_at is None:
--- a/tests/test_budget_accountant.py
+++ b/tests/test_budget_accountant.py
@@ -246,6 +246,20 @@
                 accountant.settle(receipt(attempt, 10))
         self.assertEqual(self.budget(), BudgetRow(settled=20))
 
+    async def test_first_grant_holds_for_an_outage(self):
+        async with self.router(policy=HorizonPolicy(600)) as accountant:
+            await accountant.reserve("acme", "a1", "s1", 100, wait_seconds=WAIT_SECONDS)
+            self.table.faults.outage = True
+            for number in range(2, 21):
+                await accountant.reserve(
+                    "acme", f"a{number}", "s1", 100, wait_seconds=0.05
+                )
+            error = await self.refused(accountant, 100, OverloadError, wait=0.05)
+            self.assertEqual(error.status, 503)
+            self.table.faults.outage = False
+            for number in range(1, 21):
+                accountant.release(f"a{number}")
+
     async def test_fenced_incarnation_reserves_nothing(self):
         async with self.router() as accountant:
             await accountant.reserve("acme", "a1", "s1", 100, wait_seconds=WAIT_SECONDS)
