Warm each router of the stock check test; a mutant of the first grant

test_stock_checks_go_on_without_the_platform left it to chance whether both routers served before the outage: callers take the routers in turn, but a refused try counts as a turn, so one router could have served all four.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -185,6 +185,14 @@
         "            await self._drop_billed(transaction, keys)",
         f"{_ACCOUNTANT}.test_lost_answers_of_grants_and_bills",
     ),
+    Mutant(
+        "budget-first-grant-without-stock",
+        "waiting requests counted into the burn rate",
+        "bluebellshore/budget/composer.py",
+        "account.burn.rate(now, waiting)",
+        "account.burn.rate(now)",
+        "tests.test_budget_accountant.RefusalTest.test_first_grant_holds_for_an_outage",
+    ),
     Mutant(
         "budget-bill-marker-ignored",
         "mark of a billed key in settlement",
--- a/tests/test_failures_money.py
+++ b/tests/test_failures_money.py
@@ -240,10 +240,13 @@
     async def test_stock_checks_go_on_without_the_platform(self):
         async with open_system(engines=0) as system:
             check = Call(CallKind.STOCK, STOCK, "cord")
-            await call_all(system, [check] * 4, STUBBORN)
+            warm = []
+            # A router holds tokens of a budget from its first request on.
+            for url in system.urls:
+                warm += await call_all(system, [check] * 2, STUBBORN, [url])
             await system.set_faults(system.platform, outage=True)
             results = await call_all(system, [check] * 10, IMPATIENT)
-            for result in results:
+            for result in warm + results:
                 self.assertEqual(result.outcome, CallOutcome.WHOLE, result)
             await system.set_faults(system.platform, outage=False)
             await system.wait_settled()
