--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -44,7 +44,7 @@
 #: Rounds of which a peer is told later when it was not called.
 ROUNDS_REMEMBERED = 64
 #: A peer that gave no sign for this long is not counted as serving.
-ALIVE_SECONDS = 2.0
+ALIVE_SECONDS = 2.5
 #: Failed calls after which a peer's connection is made anew, as it may be silent.
 FAILURES_TO_RECONNECT = 2
 #: Longest pause between calls to a peer that does not answer.
@@ -172,7 +172,9 @@
             busy = report.loads_by_server or report.parts or report.results_by_server
             busy = busy or self._store_lost()
             busy = busy or (self.rollouts is not None and self.rollouts.busy)
-            if not busy and now - quiet_since < QUIET_SECONDS:
+            # With many peers each is called seldom enough already.
+            few = len(self.peers_by_address) <= 2 * PEERS_A_ROUND
+            if few and not busy and now - quiet_since < QUIET_SECONDS:
                 continue
             quiet_since = now
             calls = [self._tell(peer) for peer in self._round(now)]
