Bound the rows a transaction of budgets writes after a conflict, not those it looks at

One read shows which rows change at all; only those are bounded, those that requests wait for first, then bills, in another order each time; bills of rows left out stay unsettled.

--- a/bluebellshore/budget/journal.py
+++ b/bluebellshore/budget/journal.py
@@ -115,9 +115,8 @@
         :param most_budgets: budgets that the transaction may touch.
         :raises PlatformError: the answer is open; a later commit resolves it.
         """
-        named = self._composer.budgets(request)
-        budgets = self._composer.choose(named, request, most_budgets)
-        self.partial = len(budgets) < len(named)
+        self.partial = False
+        budgets = self._composer.budgets(request)
         own_key = incarnation_key(self._incarnation)
         rows = await self._table.read([own_key, *map(budget_key, budgets)])
         self._check_lag(rows.get(own_key))
@@ -131,10 +130,11 @@
             request,
             now,
             resolving=bool(self._unresolved),
-            partial=self.partial,
+            most_budgets=most_budgets,
         )
         if transaction is None:
             return CommitResult.NOTHING
+        self.partial = transaction.partial
         return await self._send(transaction)
 
     def _check_lag(self, row: Row | None) -> None:
