Part what attempts mean from the dispatcher, and how calls are told apart

What an attempt without a whole answer means goes to entry/endings.py, the fingerprint of a call and its service to fleet/call.py.

--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -2,12 +2,9 @@
 
 import asyncio
 import contextlib
-import hashlib
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
-import xxhash
-
 from bluebellshore.backend import (
     Answer,
     AttemptError,
@@ -17,12 +14,19 @@
 )
 from bluebellshore.entry.admission import Admission, Admitted
 from bluebellshore.entry.attempt_lines import AttemptLines
+from bluebellshore.entry.endings import given_up, result_of, timed_out
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
 from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.entry.trace import Trace
-from bluebellshore.errors import OverloadError, RefusedError, RunState
-from bluebellshore.fleet import BackendServer, Call, RouteKind
+from bluebellshore.errors import OverloadError, RunState
+from bluebellshore.fleet import (
+    BackendServer,
+    Call,
+    RouteKind,
+    fingerprint_of,
+    service_of,
+)
 from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
 from bluebellshore.rollouts import Attempt
 from bluebellshore.routing.crashing import CrashLedger
@@ -32,9 +36,8 @@
 from bluebellshore.routing.retry_window import RetryWindow
 from bluebellshore.routing.suspicion import Suspicion
 
-__all__ = ["Budgets", "Dispatcher", "fingerprint_of"]
+__all__ = ["Budgets", "Dispatcher"]
 
-RETRY_AFTER_SECONDS = 0.5
 #: After which a request that crashes backend servers may come again; it is refused for
 #: longer, so this keeps its caller from trying at once.
 CRASHING_RETRY_SECONDS = 30.0
@@ -141,7 +144,7 @@
             async with asyncio.timeout_at(call.deadline), self._budget(call, progress):
                 await self._run(call, sink, progress)
         except TimeoutError as error:
-            raise _timed_out(progress) from error
+            raise timed_out(may_have_run=progress.may_have_run) from error
         finally:
             self.active -= 1
 
@@ -206,7 +209,7 @@
         return most
 
     async def _run(self, call: Call, sink: Sink, progress: _Progress) -> None:
-        service = _service_of(call)
+        service = service_of(call)
         retries = self._retries_by_service.setdefault(
             service, self._make_retry_window()
         )
@@ -247,7 +250,7 @@
                     now=now(),
                 )
                 if step is Next.GIVE_UP:
-                    raise _given_up(error, progress) from error
+                    raise given_up(error, may_have_run=progress.may_have_run) from error
 
     def _note(
         self, server: BackendServer, error: AttemptError, progress: _Progress
@@ -304,7 +307,7 @@
             if self.crashes:
                 self.crashes.survived(fingerprint_of(call))
         except AttemptError as error:
-            result = _result_of(error)
+            result = result_of(error)
             self._note_crash(call, server, error, loop.time())
             raise
         finally:
@@ -387,65 +390,3 @@
             )
         again = call.route.repeatable and progress.sends + 1 < call.route.max_attempts
         await relay_plain(answer, sink, repeat_failures=again)
-
-
-def fingerprint_of(call: Call) -> str:
-    """Return what tells a request that comes again from others."""
-    digest = hashlib.blake2b(call.body, digest_size=8)
-    digest.update(f"{call.customer}\0{call.method}\0{call.target}".encode())
-    return digest.hexdigest()
-
-
-def _service_of(call: Call) -> ServiceName:
-    """Pick the service by the route's weights; the same for each try of an attempt."""
-    services = call.route.services
-    if len(services) == 1:
-        return services[0].service
-    total = sum(part.weight for part in services)
-    point = xxhash.xxh32_intdigest(call.attempt_id.encode()) / 2**32 * total
-    for part in services:
-        point -= part.weight
-        if point < 0:
-            return part.service
-    return services[-1].service
-
-
-def _result_of(error: AttemptError) -> Result:
-    if error.outcome is Outcome.NOT_SENT:
-        return Result.UNREACHABLE
-    if error.outcome in (Outcome.NOT_RUN, Outcome.MISDIRECTED):
-        return Result.REFUSED
-    if error.timed_out:
-        return Result.TIMED_OUT
-    if error.status >= 500:
-        return Result.FAILED
-    return Result.BROKEN
-
-
-def _given_up(error: AttemptError, progress: _Progress) -> RefusedError:
-    if not progress.may_have_run:
-        return OverloadError(
-            error.message,
-            step=error.step,
-            peer=error.peer,
-            retry_after=RETRY_AFTER_SECONDS,
-        )
-    return RefusedError(
-        error.message,
-        step=error.step,
-        peer=error.peer,
-        status=504 if error.timed_out else 502,
-        run=RunState.UNKNOWN,
-    )
-
-
-def _timed_out(progress: _Progress) -> RefusedError:
-    # Work that is cut here may have run, whatever was known before.
-    sent = progress.may_have_run
-    return RefusedError(
-        "the time limit passed",
-        step="dispatch",
-        status=504 if sent else 503,
-        run=RunState.UNKNOWN if sent else RunState.NOT_RUN,
-        retry_after=None if sent else RETRY_AFTER_SECONDS,
-    )
--- a/bluebellshore/fleet/__init__.py
+++ b/bluebellshore/fleet/__init__.py
@@ -1,6 +1,6 @@
 """What is in force and what is asked: configuration, backend servers, calls."""
 
-from bluebellshore.fleet.call import Call, PromptPart
+from bluebellshore.fleet.call import Call, PromptPart, fingerprint_of, service_of
 from bluebellshore.fleet.model import (
     BackendServer,
     Configuration,
@@ -29,4 +29,6 @@
     "ServerState",
     "Service",
     "WeightedService",
+    "fingerprint_of",
+    "service_of",
 ]
--- a/bluebellshore/fleet/call.py
+++ b/bluebellshore/fleet/call.py
@@ -1,13 +1,15 @@
 """One request of a caller, as all decisions see it."""
 
+import hashlib
 from typing import NamedTuple
 
 import msgspec
+import xxhash
 
 from bluebellshore.fleet.model import Route
-from bluebellshore.ids import CustomerId, PartId
+from bluebellshore.ids import CustomerId, PartId, ServiceName
 
-__all__ = ["Call", "PromptPart"]
+__all__ = ["Call", "PromptPart", "fingerprint_of", "service_of"]
 
 
 class PromptPart(NamedTuple):
@@ -54,3 +56,24 @@
     def most_tokens(self) -> int:
         """Upper bound of what the request can cost."""
         return self.prompt_tokens + self.max_output_tokens
+
+
+def fingerprint_of(call: Call) -> str:
+    """Return what tells a request that comes again from others."""
+    digest = hashlib.blake2b(call.body, digest_size=8)
+    digest.update(f"{call.customer}\0{call.method}\0{call.target}".encode())
+    return digest.hexdigest()
+
+
+def service_of(call: Call) -> ServiceName:
+    """Pick the service by the route's weights; the same for each try of an attempt."""
+    services = call.route.services
+    if len(services) == 1:
+        return services[0].service
+    total = sum(part.weight for part in services)
+    point = xxhash.xxh32_intdigest(call.attempt_id.encode()) / 2**32 * total
+    for part in services:
+        point -= part.weight
+        if point < 0:
+            return part.service
+    return services[-1].service
