Revert the bound on rows written; look at few budgets after a conflict again

Tried: one read of all budgets' rows, writes bounded. Likely cause, not traced: each read brings 24 rows of 22 allotments, some 55 KB, over links of 5 Mbit/s and makes the time between read and write longer.

--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -152,6 +152,21 @@
             budgets.update(self._book.accounts_by_budget)
         return sorted(budgets)
 
+    def choose(
+        self, budgets: list[BudgetId], request: Request, most: int
+    ) -> list[BudgetId]:
+        """Return some of the budgets: those that requests wait for, then in turn.
+
+        :param most: budgets to touch; all, as far as there is room, when it is not
+            below the writes of a transaction.
+        """
+        if len(budgets) <= most or most >= MAX_TRANSACTION_WRITES:
+            return budgets
+        waited = [b for b in budgets if b in request.demands_by_budget]
+        others = [b for b in budgets if b not in request.demands_by_budget]
+        turn = self._sequence * most % max(1, len(others))
+        return [*waited, *others[turn:], *others[:turn]][:most]
+
     def _batch(self) -> list[Bill]:
         bills_by_key: dict[str, Bill] = {}
         budgets: set[BudgetId] = set()
@@ -173,36 +188,34 @@
         now: float,
         *,
         resolving: bool,
-        most_budgets: int = MAX_TRANSACTION_WRITES,
+        partial: bool = False,
     ) -> Transaction | None:
         """Compose a transaction.
 
         :param current: the incarnation's row, which is changed.
         :param budgets: budgets whose rows were read.
         :param resolving: write in any case, to rule out unanswered transactions.
-        :param most_budgets: budgets whose rows may be written.
+        :param partial: budgets were left out of those that the request names.
         :return: None when nothing is due.
         """
         self._sequence += 1
         own_row = rows[incarnation_key(self._incarnation)]
-        transaction = Transaction(self._sequence, own_row.version, current)
+        transaction = Transaction(
+            self._sequence, own_row.version, current, partial=partial
+        )
         if request.settle or request.closing:
             wanted = set(budgets)
             transaction.bills = [b for b in self._batch() if b.budget in wanted]
         room = MAX_TRANSACTION_WRITES - OWN_WRITES
         if self._keeps_ledger:
             room -= len(transaction.bills)
-        room = min(room, most_budgets)
-        composed: set[BudgetId] = set()
-        for budget in _by_urgency(self._in_turn(budgets), transaction, request):
+        for budget in _by_urgency(budgets, transaction, request):
             if len(transaction.writes) == room:
                 transaction.partial = True
                 break
-            composed.add(budget)
             self._compose_budget(
                 transaction, budget, rows.get(budget_key(budget)), request, now
             )
-        transaction.bills = [b for b in transaction.bills if b.budget in composed]
         limits = self._book.desired_limits(
             request.needs_by_sidecar, transaction.grants, now, transaction.billed()
         )
@@ -220,11 +233,6 @@
         self._compose_own(transaction, limits, request)
         return transaction
 
-    def _in_turn(self, budgets: list[BudgetId]) -> list[BudgetId]:
-        """Return the budgets beginning with another one in each transaction."""
-        turn = self._sequence % max(1, len(budgets))
-        return [*budgets[turn:], *budgets[:turn]]
-
     def _compose_budget(
         self,
         transaction: Transaction,
@@ -388,12 +396,13 @@
 def _by_urgency(
     budgets: list[BudgetId], transaction: Transaction, request: Request
 ) -> list[BudgetId]:
-    """Return the budgets that requests wait for first, then those of bills."""
+    """Return the budgets of bills first, then those that requests wait for."""
     billed = {bill.budget for bill in transaction.bills}
     return sorted(
         budgets,
         key=lambda budget: (
-            budget not in request.demands_by_budget,
             budget not in billed,
+            budget not in request.demands_by_budget,
+            budget,
         ),
     )
--- a/bluebellshore/budget/journal.py
+++ b/bluebellshore/budget/journal.py
@@ -115,8 +115,9 @@
         :param most_budgets: budgets that the transaction may touch.
         :raises PlatformError: the answer is open; a later commit resolves it.
         """
-        self.partial = False
-        budgets = self._composer.budgets(request)
+        named = self._composer.budgets(request)
+        budgets = self._composer.choose(named, request, most_budgets)
+        self.partial = len(budgets) < len(named)
         own_key = incarnation_key(self._incarnation)
         rows = await self._table.read([own_key, *map(budget_key, budgets)])
         self._check_lag(rows.get(own_key))
@@ -130,11 +131,10 @@
             request,
             now,
             resolving=bool(self._unresolved),
-            most_budgets=most_budgets,
+            partial=self.partial,
         )
         if transaction is None:
             return CommitResult.NOTHING
-        self.partial = transaction.partial
         return await self._send(transaction)
 
     def _check_lag(self, row: Row | None) -> None:
