--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -36,6 +36,8 @@
 MAX_OPEN_ATTEMPTS = 50_000
 RETRY_AFTER_SECONDS = 1.0
 BACKOFF_SECONDS = 0.01
+#: Pause before budgets that a transaction left out are looked at.
+PARTIAL_PAUSE_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 1.0
 MAX_SETTLE_FACTOR = 16.0
 COVER_SECONDS = 1.0
@@ -450,7 +452,12 @@
             self._most_budgets = min(MAX_TRANSACTION_WRITES, self._most_budgets * 2)
         if self._raised_caps or self._journal.partial:
             self._serve_waiters()
-            self._urgent = self._journal.partial or len(self._waiters) > 0
+            self._urgent = len(self._waiters) > 0
+            if self._journal.partial:
+                # The rest follows soon, not at once: each costs two calls.
+                soon = now + PARTIAL_PAUSE_SECONDS
+                self._looked_at = min(now, soon - self._times.look)
+                self._settle_at = max(self._settle_at, soon)
             return
         self._attended -= request.attended
         if request.attended >= self.book.accounts_by_budget.keys():
