--- /dev/null
+++ b/bluebellshore/standin/runner_entries.py
@@ -0,0 +1,74 @@
+"""Entries of stand-in backend servers in the platform's stand-in store."""
+
+import asyncio
+import time
+
+import msgspec
+
+from bluebellshore.standin.platform import PlatformState
+from bluebellshore.standin.platform_faults import NoAnswer
+
+__all__ = ["RunnerEntries"]
+
+TABLE = "servers"
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+#: Heartbeats of silence after which the platform removes an entry.
+SILENT_HEARTBEATS = 3
+POLL_SECONDS = 0.02
+
+
+class RunnerEntries:
+    """Writes the entries and configurations that the system itself may not write.
+
+    Nothing reaches the store while its outage lasts: an entry may lapse then.
+
+    :param heartbeat_seconds: interval at which backend servers renew their entries.
+    """
+
+    def __init__(self, state: PlatformState, heartbeat_seconds: float):
+        self.heartbeat_seconds = heartbeat_seconds
+        self._state = state
+        self._seen_at: dict[str, float] = {}
+
+    @property
+    def out(self) -> bool:
+        """Whether the store takes nothing."""
+        outage = self._state.faults.outage
+        return outage is True or isinstance(outage, NoAnswer)
+
+    def renew(self, runner_id: str, entry: dict[str, object]) -> bool:
+        """Write an entry. :return: whether the store took it."""
+        if self.out:
+            return False
+        self._seen_at[runner_id] = time.monotonic()
+        self.write(TABLE, runner_id, entry)
+        return True
+
+    def remove(self, runner_id: str) -> bool:
+        """Remove an entry. :return: whether the store took it."""
+        if self.out:
+            return False
+        self._drop(runner_id)
+        return True
+
+    def configure(self, configuration: dict[str, object]) -> None:
+        """Put a configuration into the store, as the operator does."""
+        self.write(CONFIGURATION_TABLE, CONFIGURATION_KEY, configuration)
+
+    def write(self, table: str, key: str, value: dict[str, object]) -> None:
+        """Write a row as the operator, whatever its version."""
+        self._state.write_as_operator(table, key, msgspec.json.encode(value))
+
+    async def run(self) -> None:
+        """Remove entries that were not renewed, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            oldest = time.monotonic() - SILENT_HEARTBEATS * self.heartbeat_seconds
+            for runner_id, seen_at in list(self._seen_at.items()):
+                if seen_at < oldest:
+                    self._drop(runner_id)
+
+    def _drop(self, runner_id: str) -> None:
+        if self._seen_at.pop(runner_id, None) is not None:
+            self._state.write_as_operator(TABLE, runner_id, None)
--- /dev/null
+++ b/tests/entry_system.py
@@ -0,0 +1,245 @@
+"""A small entry system on loopback: a store, backend servers and entry routers.
+
+Routers run in the test's process, or as processes where signals matter.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import os
+import pathlib
+import socket
+import sys
+import tempfile
+import unittest
+from unittest import mock
+
+import aiohttp
+import yarl
+
+from bluebellshore.entry.router import EntryRouter
+from bluebellshore.load.fleet import wait_until
+from bluebellshore.load.process import PACKAGE_PARENT, ManagedProcess
+from bluebellshore.platform.settings import SETTINGS_VARIABLE
+from bluebellshore.settings import PlatformSettings
+from bluebellshore.standin.operator import (
+    StandinCustomer,
+    StandinRoute,
+    configuration_of,
+    settings_file,
+)
+from bluebellshore.standin.platform import PlatformStandin
+from bluebellshore.standin.runner import RunnerSettings, StandinRunner
+from bluebellshore.standin.runner_entries import RunnerEntries
+
+__all__ = ["HOST", "KEY", "EntryTestCase", "Instance", "free_loopback"]
+
+HOST = "api.example"
+KEY = "key-of-acme"
+ROUTES = (
+    StandinRoute("/safe/", "safe", "plain"),
+    StandinRoute("/unsafe/", "unsafe", "plain"),
+    StandinRoute("/open/", "safe", "plain", anonymous=True),
+    StandinRoute("/stream/", "streaming", "streams"),
+    StandinRoute("/resumed/", "streaming", "streams", resumable=True),
+)
+CUSTOMERS = (StandinCustomer("acme", (KEY,)),)
+HEARTBEAT_SECONDS = 0.2
+STOP_SECONDS = 20.0
+_ports = itertools.count(12_000 + os.getpid() * 37 % 15_000)
+
+
+def free_loopback() -> str:
+    """Return an address outside of the range from which connections take theirs."""
+    for port in _ports:
+        with socket.socket() as probe:
+            with contextlib.suppress(OSError):
+                probe.bind(("127.0.0.1", port))
+                return f"127.0.0.1:{port}"
+    raise AssertionError("no port is free")
+
+
+@dataclasses.dataclass
+class _NoFlags:
+    """A process that takes its settings from a file only."""
+
+
+class Instance:
+    """An entry instance: its settings file, addresses and current router."""
+
+    def __init__(self, directory: pathlib.Path, name: str, store: str):
+        self.path = directory / f"{name}.json"
+        self.name = name
+        self.store = store
+        self.listen, self.ready, self.peer = (free_loopback() for _ in range(3))
+        self.peers: tuple[str, ...] = ()
+        self.process: ManagedProcess | None = None
+        self.router: EntryRouter | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f"http://{self.listen}"
+
+    def write(self, **changes: object) -> None:
+        """Write the settings file."""
+        values = {
+            "name": self.name,
+            "zone": "zone-a",
+            "listen": self.listen,
+            "ready_listen": self.ready,
+            "peer_listen": self.peer,
+            "peers": self.peers,
+            "store": self.store,
+            "heartbeat_seconds": HEARTBEAT_SECONDS,
+            "stop_seconds": STOP_SECONDS,
+        }
+        self.path.write_bytes(settings_file(**(values | changes)))
+
+
+class EntryTestCase(unittest.IsolatedAsyncioTestCase):
+    """Builds small entry systems and ends them."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="bluebellshore-")
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        # Nobody asks whether routers of this process are ready.
+        patch = mock.patch("bluebellshore.entry.router.LEAVE_SECONDS", 0.1)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.store = PlatformStandin(PlatformSettings())
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.entries = RunnerEntries(self.store.state, HEARTBEAT_SECONDS)
+        lapses = asyncio.create_task(self.entries.run())
+        self.addCleanup(lapses.cancel)
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        self.addAsyncCleanup(self.session.close)
+        self.runners: list[StandinRunner] = []
+        self._attempts = itertools.count(1)
+
+    def configure(self, number=1, routes=ROUTES, customers=CUSTOMERS):
+        """Have the operator write a configuration."""
+        self.entries.configure(configuration_of(number, routes, customers))
+
+    async def add_runner(self, runner_id, service="plain", **settings):
+        """Start a backend server."""
+        settings.setdefault("streaming", service == "streams")
+        runner = StandinRunner(
+            runner_id, RunnerSettings(service, **settings), self.entries
+        )
+        await runner.start()
+        self.addAsyncCleanup(runner.crash)
+        self.runners.append(runner)
+        return runner
+
+    def instance(self, name="entry-1", store=""):
+        """Return an instance whose settings file is written."""
+        made = Instance(self.folder, name, store or self.store.address)
+        made.write()
+        return made
+
+    async def start_router(self, instance):
+        """Start a router in this process."""
+        with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(instance.path)}):
+            instance.router = EntryRouter()
+        await instance.router.start()
+        self.addAsyncCleanup(instance.router.stop)
+        return instance
+
+    async def start_process(self, instance):
+        """Start a router as a process, beside one that may still end."""
+        paths = [str(PACKAGE_PARENT), os.environ.get("PYTHONPATH", "")]
+        words = (
+            "/usr/bin/env",
+            f"{SETTINGS_VARIABLE}={instance.path}",
+            f"PYTHONPATH={os.pathsep.join(filter(None, paths))}",
+            sys.executable,
+        )
+        process = ManagedProcess(
+            instance.name, ("-m", "bluebellshore.entry"), _NoFlags(), program=words
+        )
+        await process.start()
+        self.addAsyncCleanup(process.kill)
+        instance.process = process
+        return instance
+
+    async def system(self, number=1):
+        """Start one router and two backend servers of each service."""
+        self.configure(number)
+        for service in ("plain", "streams"):
+            for name in ("a", "b"):
+                await self.add_runner(f"{service}-{name}", service)
+        instance = await self.start_router(self.instance())
+        await self.wait_known(instance)
+        return instance
+
+    async def wait_known(self, *instances):
+        """Wait until routers know all that the store holds now."""
+        version = self.store.state.rows.version
+
+        def known():
+            return all(
+                min(instance.router.snapshot()["versions"].values()) >= version
+                for instance in instances
+            )
+
+        await wait_until(known, f"row version {version}")
+
+    async def wait_served(self, instance, path="/open/ready"):
+        """Wait until a router of another process serves."""
+
+        async def served():
+            status, _, _ = await self.call(instance, path)
+            return status == 200
+
+        await wait_until(served, f"{instance.name} to serve")
+
+    async def ready_status(self, instance):
+        """Return what an instance answers when asked whether it is ready."""
+        async with self.session.get(f"http://{instance.ready}/readiness") as response:
+            return response.status
+
+    def attempt_id(self):
+        """Return an id that no other attempt of this test has."""
+        return f"attempt-{next(self._attempts)}"
+
+    def headers(self, attempt_id, key=KEY, deadline_ms=8000, **more):
+        """Return the headers of a caller's request."""
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt_id,
+            "X-Deadline-Ms": str(deadline_ms),
+        }
+        if key:
+            headers["X-Api-Key"] = key
+        return headers | {name.replace("_", "-"): str(more[name]) for name in more}
+
+    async def call(self, instance, path, method="GET", body=b"", headers=None):
+        """Send one request. :return: status, headers and body.
+
+        :raises aiohttp.ClientError: the answer broke off, or there was none.
+        """
+        headers = headers or self.headers(self.attempt_id())
+        async with self.session.request(
+            method,
+            yarl.URL(instance.url + path, encoded=True),
+            data=body or None,
+            headers=headers,
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    def runs(self, attempt_id):
+        """Return how often a request ran, at any backend server."""
+        return sum(runner.runs[attempt_id] for runner in self.runners)
+
+    def arrivals(self, attempt_id):
+        """Return the arrivals of a request, at any backend server."""
+        return [
+            seen
+            for runner in self.runners
+            for seen in runner.arrivals
+            if seen.attempt_id == attempt_id
+        ]
