Count a start of an entry router as no outage of the store

Cause: the first answer of the store after a start counted as its return from an outage, so that an entry removed in the second after it was used for two seconds more. Ruled out: setting the time of the last answer to the start, which would delay the asking of peers by 2.7 s when the store is out at the start. Conclusion: an outage is counted from the start on.

--- a/bluebellshore/entry/watch.py
+++ b/bluebellshore/entry/watch.py
@@ -35,6 +35,7 @@
         self._versions: dict[str, int | None] = dict.fromkeys(TABLES)
         self._seen_at: dict[str, float] = dict.fromkeys(TABLES, -1e9)
         self._regained_at: dict[str, float] = dict.fromkeys(TABLES, -1e9)
+        self._began_at = time.monotonic()
         self._lost = True
 
     @property
@@ -46,6 +47,7 @@
 
     async def run(self) -> None:
         """Follow all tables until cancelled."""
+        self._began_at = time.monotonic()
         async with asyncio.TaskGroup() as group:
             for table in TABLES:
                 group.create_task(self._follow(table))
@@ -86,7 +88,9 @@
             eliot.log_message("store_regained", versions=self._knowledge.versions())
 
     def _after_outage(self, table: str, now: float) -> bool:
-        if now - self._seen_at[table] > LOST_SECONDS + WAIT_SECONDS:
+        # A start is no outage: a store that answers at once was not away.
+        seen_at = max(self._seen_at[table], self._began_at)
+        if now - seen_at > LOST_SECONDS + WAIT_SECONDS:
             self._regained_at[table] = now
         return now - self._regained_at[table] < RETURN_SECONDS
 
