--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -6,7 +6,6 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
-import eliot
 import xxhash
 
 from bluebellshore.backend import (
@@ -17,11 +16,14 @@
     Outcome,
 )
 from bluebellshore.entry.admission import Admission, Admitted
+from bluebellshore.entry.attempt_lines import AttemptLines
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
+from bluebellshore.entry.trace import Trace
 from bluebellshore.errors import OverloadError, RefusedError, RunState
 from bluebellshore.fleet import BackendServer, Call, RouteKind
 from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
+from bluebellshore.routing.crashing import CrashLedger
 from bluebellshore.routing.load import LoadBook
 from bluebellshore.routing.repeats import Next, next_step
 from bluebellshore.routing.results import Result
@@ -31,6 +33,9 @@
 __all__ = ["Budgets", "Dispatcher", "fingerprint_of"]
 
 RETRY_AFTER_SECONDS = 0.5
+#: After which a request that crashes backend servers may come again; it is refused for
+#: longer, so this keeps its caller from trying at once.
+CRASHING_RETRY_SECONDS = 30.0
 #: Longest wait for tokens of a prepaid budget, as a part of the objective.
 BUDGET_WAIT_SHARE = 0.5
 #: Part of the time left that a request which may be repeated gives its first try, and
@@ -65,7 +70,8 @@
 class _Progress:
     """What became of a call so far."""
 
-    def __init__(self) -> None:
+    def __init__(self, trace: Trace) -> None:
+        self.trace = trace
         self.sends = 0
         self.unreachable = 0
         self.may_have_run = False
@@ -83,6 +89,7 @@
     :param headers: returns the headers with which a backend server gets a call, from
         the call, the server, the seconds left and the last event id.
     :param routers: returns the most routers that may be serving.
+    :param lines: told of attempts.
     """
 
     def __init__(
@@ -97,7 +104,10 @@
         headers: Callable[[Call, BackendServer, float, str], list[tuple[str, str]]],
         retry_window: Callable[[], RetryWindow],
         routers: Callable[[], int],
+        lines: AttemptLines | None = None,
+        crashes: CrashLedger | None = None,
     ):
+        self._lines = lines or AttemptLines(book)
         self._knowledge = knowledge
         self._book = book
         self._admission = admission
@@ -108,15 +118,19 @@
         self._make_retry_window = retry_window
         self._routers = routers
         self._retries_by_service: dict[ServiceName, RetryWindow] = {}
+        #: Tells the requests that crash backend servers; peers add what they saw.
+        self.crashes = CrashLedger() if crashes is None else crashes
         self.active = 0
 
-    async def serve(self, call: Call, sink: Sink) -> None:
+    async def serve(self, call: Call, sink: Sink, trace: Trace) -> None:
         """Answer a call.
 
+        :param trace: takes in what becomes of it.
         :raises RefusedError: there is no answer; nothing was written to `sink`, or
             its answer broke off.
         """
-        progress = _Progress()
+        progress = _Progress(trace)
+        self._refuse_crashing(call)
         self.active += 1
         try:
             async with asyncio.timeout_at(call.deadline), self._budget(call, progress):
@@ -126,6 +140,27 @@
         finally:
             self.active -= 1
 
+    def _refuse_crashing(self, call: Call) -> None:
+        """Refuse a request after which backend servers crashed.
+
+        :raises OverloadError: it did.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.crashes and self.crashes.blames(fingerprint_of(call), now):
+            raise OverloadError(
+                "backend servers crashed with this request",
+                step="dispatch.crashes",
+                retry_after=CRASHING_RETRY_SECONDS,
+            )
+
+    def _note_crash(
+        self, call: Call, server: BackendServer, error: AttemptError, now: float
+    ) -> None:
+        if error.reset and error.outcome is Outcome.UNKNOWN:
+            self.crashes.broke(server.server_id, fingerprint_of(call), now)
+        elif error.outcome is Outcome.NOT_SENT and not error.timed_out:
+            self.crashes.unreachable(server.server_id, now)
+
     @contextlib.asynccontextmanager
     async def _budget(self, call: Call, progress: _Progress) -> AsyncIterator[None]:
         """Hold the most that a call can cost, then charge what it did cost."""
@@ -142,6 +177,7 @@
         finally:
             if progress.may_have_run:
                 spent = self._spent(call, progress)
+                progress.trace.tokens = spent
                 self._budgets.settle(call.attempt_id, spent)
             else:
                 self._budgets.release(call.attempt_id)
@@ -177,6 +213,7 @@
             try:
                 async with self._admitted(call, service, progress) as admitted:
                     server = admitted.place.server
+                    self._lines.placed(call, admitted, progress.trace)
                     await self._attempt(call, admitted, sink, progress)
                 return
             except AttemptError as error:
@@ -190,16 +227,19 @@
                     now=now(),
                 )
                 progress.tried.add(server.server_id)
-                if step is Next.REPEAT and not retries.allow(now(), self._routers()):
+                allowed = step is not Next.REPEAT or retries.allow(
+                    now(), self._routers()
+                )
+                if not allowed:
                     step = Next.GIVE_UP
-                eliot.log_message(
-                    "attempt_failed",
-                    request=call.attempt_id,
-                    server=server.server_id,
-                    outcome=error.outcome.value,
-                    reason=error.message,
-                    next=step.value,
+                self._lines.failed(
+                    call,
+                    error,
+                    progress.trace,
+                    step,
                     sends=progress.sends,
+                    allowed=allowed,
+                    now=now(),
                 )
                 if step is Next.GIVE_UP:
                     raise _given_up(error, progress) from error
@@ -254,11 +294,15 @@
             progress.sends += 1
             progress.may_have_run = True
             result = Result.FAILED if answer.status >= 500 else Result.ANSWERED
+            if self.crashes:
+                self.crashes.survived(fingerprint_of(call))
         except AttemptError as error:
             result = _result_of(error)
+            self._note_crash(call, server, error, loop.time())
             raise
         finally:
             now = loop.time()
+            self._lines.ended(result.value)
             if result is not Result.LEFT:
                 first_seconds = self._book.first_event(ticket, now)
             self._book.end(ticket, result, now, self._output_tokens(call, progress))
@@ -307,9 +351,10 @@
         loop = asyncio.get_running_loop()
         began = False
 
-        def on_event() -> None:
+        def on_event(events: int) -> None:
             nonlocal began
             now = loop.time()
+            self._lines.events(call, progress.trace, events, sink.behind_bytes, now)
             if not began:
                 began = True
                 self._book.first_event(admitted.ticket, now)
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -5,10 +5,10 @@
 import time
 from collections.abc import Callable
 
-import eliot
 import grpc
 import msgspec
 
+from bluebellshore.decisions import Contact, DecisionLog, silent_log
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.loans import Lender, Loan
 from bluebellshore.errors import LinkError
@@ -20,6 +20,7 @@
     PartId,
     Tokens,
 )
+from bluebellshore.routing.crashing import CrashLedger, CrashSeen
 from bluebellshore.routing.load import LoadBook, LoadReport, PartSeen, ServerLoad
 from bluebellshore.routing.results import ResultCounts
 from bluebellshore.store import Row, TableChange
@@ -58,12 +59,16 @@
     """Another router, by the address of its exchange.
 
     :param seen_at: monotonic seconds of its last sign.
+    :param in_contact: whether the log says so.
+    :param failure: what the last failed exchange showed.
     """
 
     address: str
     incarnation: IncarnationId = IncarnationId("")
     instance_id: InstanceId = InstanceId("")
     seen_at: float = -1e9
+    in_contact: bool = False
+    failure: str = ""
     failures: int = 0
     next_at: float = 0.0
     leaving: bool = False
@@ -85,13 +90,17 @@
         incarnation: IncarnationId,
         knowledge: Knowledge,
         book: LoadBook,
+        crashes: CrashLedger | None = None,
         store_lost: Callable[[], bool],
+        log: DecisionLog | None = None,
     ):
+        self._log = log or silent_log()
         self._address = address
         self._instance_id = instance_id
         self._incarnation = incarnation
         self._knowledge = knowledge
         self._book = book
+        self._crashes = CrashLedger() if crashes is None else crashes
         self._store_lost = store_lost
         self._server: grpc.aio.Server | None = None
         self._channels: dict[str, grpc.aio.Channel] = {}
@@ -135,6 +144,7 @@
         while True:
             await asyncio.sleep(EXCHANGE_SECONDS * random.uniform(0.8, 1.2))
             now = time.monotonic()
+            self._note_lost(now)
             report = self._book.report()
             busy = report.loads_by_server or report.parts or report.results_by_server
             busy = busy or self._store_lost()
@@ -156,6 +166,13 @@
             self._seen(peer, request.incarnation)
             peer.instance_id = InstanceId(request.instance_id)
             peer.leaving = request.leaving
+        self._crashes.merge(
+            (
+                CrashSeen(BackendServerId(seen.server), tuple(seen.fingerprints))
+                for seen in request.crashes
+            ),
+            time.monotonic(),
+        )
         report = _report_of(request)
         now = time.monotonic()
         self._book.merge(IncarnationId(request.incarnation), report, now)
@@ -253,6 +270,8 @@
                 parts=[part.part_id for part in parts],
                 tokens=[part.tokens for part in parts],
             )
+        for crash in self._crashes.report():
+            state.crashes.add(server=crash.server_id, fingerprints=crash.fingerprints)
         for server_id, counts in report.results_by_server.items():
             state.results.add(
                 server=server_id, good=counts.good, bad=counts.bad, lost=counts.lost
@@ -275,23 +294,42 @@
         for table in reply.tables:
             # This router asked since it lost the store: entries may have lapsed.
             change = _change_of(table)
-            self._knowledge.apply(table.table, change, now, after_outage=True)
+            self._knowledge.apply(
+                table.table, change, now, after_outage=True, source=peer.address
+            )
 
     def _seen(self, peer: Peer, incarnation: str) -> None:
-        now = time.monotonic()
-        if now - peer.seen_at > ALIVE_SECONDS:
-            eliot.log_message("peer_regained", peer=peer.address)
-        peer.seen_at = now
+        peer.seen_at = time.monotonic()
+        renewed = peer.incarnation and peer.incarnation != incarnation
         peer.incarnation = IncarnationId(incarnation)
+        if renewed or not peer.in_contact:
+            peer.in_contact = True
+            self._log.peer(
+                peer.address,
+                Contact.REGAINED,
+                reason=f"incarnation {incarnation}",
+                alive=len(self.alive()),
+            )
+
+    def _note_lost(self, now: float) -> None:
+        for peer in self.peers_by_address.values():
+            silent = now - peer.seen_at
+            if peer.in_contact and silent >= ALIVE_SECONDS:
+                peer.in_contact = False
+                self._log.peer(
+                    peer.address,
+                    Contact.LOST,
+                    reason="it left" if peer.leaving else peer.failure,
+                    silent_seconds=silent,
+                    alive=len(self.alive()),
+                )
 
     async def _failed(self, peer: Peer, error: Exception) -> None:
         peer.failures += 1
+        code = getattr(error, "code", lambda: None)()
+        peer.failure = code.name if code else type(error).__name__
         backoff = min(MAX_BACKOFF_SECONDS, EXCHANGE_SECONDS * 2**peer.failures)
         peer.next_at = time.monotonic() + backoff * random.uniform(0.5, 1.0)
-        if peer.failures == FAILURES_TO_RECONNECT:
-            eliot.log_message(
-                "peer_lost", peer=peer.address, reason=type(error).__name__
-            )
         if peer.failures % FAILURES_TO_RECONNECT == 0:
             channel = self._channels.pop(peer.address, None)
             if channel is not None:
