Know an entry router's start by its new line when it is run as a process

Cause: the decision log says "started" where other roles say "ready"; a managed entry process was killed after 60 s as not ready. Ruled out: a second line from the router. Conclusion: both lines count; both carry the address.

--- a/bluebellshore/load/process.py
+++ b/bluebellshore/load/process.py
@@ -20,6 +20,8 @@
 OUTPUT_LINES = 200
 #: Option of prctl(2) in linux/prctl.h.
 PR_SET_PDEATHSIG = 1
+#: Types of the line that carries the address on which a process serves.
+READY_TYPES = ("ready", "started")
 STREAM_LIMIT_BYTES = 4 * 1024 * 1024
 PROGRAM = (sys.executable, "-m", "bluebellshore")
 PACKAGE_PARENT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -200,7 +202,7 @@
             entry = json.loads(text)
         except ValueError:
             return
-        if isinstance(entry, dict) and entry.get("message_type") == "ready":
+        if isinstance(entry, dict) and entry.get("message_type") in READY_TYPES:
             self.address = entry["address"]
             self.operator_address = entry.get("operator_address", "")
             self._ready.set()
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -86,7 +86,7 @@
         await reload_until('"reloaded"')
         instance.path.write_bytes(b"{")
         instance.process._send(signal.SIGHUP)
-        await reload_until('"settings_refused"')
+        await reload_until('"refused"')
         status, _, _ = await self.call(instance, "/safe/a")
         self.assertEqual(200, status)
 
