Tell requests that wait apart by identity, not by the caller's attempt id

Cause: admission and the waiting queue kept requests under the attempt id. With two under one id the later replaced the earlier, which then waited out its deadline, and the end of one could take the other out of the book while it stood in the queue: a KeyError there ends the polling of everything that waits. Ruled out: a refusal of ids that are in use, which a caller that resends would meet. Conclusion: what a caller writes into its id no longer touches other requests.

--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -81,7 +81,8 @@
         self._placer = placer
         self._suspicion = suspicion
         self._queues: dict[ServiceName, WaitingQueue] = {}
-        self._waiting: dict[str, _Waiting] = {}
+        #: By identity: a caller may use the id of an attempt twice.
+        self._waiting: dict[int, _Waiting] = {}
 
     @property
     def waiting(self) -> int:
@@ -121,7 +122,7 @@
         found: list[_Choice] = []
 
         def fits(call: Call) -> bool:
-            waiting = self._waiting[call.attempt_id]
+            waiting = self._waiting[id(call)]
             choice = self._choose(call, service, waiting.tried, now)
             if isinstance(choice.decision, Place):
                 found.append(choice)
@@ -172,7 +173,7 @@
     ) -> _Taken:
         loop = asyncio.get_running_loop()
         waiting = _Waiting(call, tried, loop.create_future(), choice, ahead)
-        self._waiting[call.attempt_id] = waiting
+        self._waiting[id(call)] = waiting
         began_at, outcome = loop.time(), "placed"
         try:
             self.freed(service)
@@ -188,7 +189,7 @@
                 self._book.end(future.result().ticket, Result.LEFT, loop.time())
             raise
         finally:
-            self._waiting.pop(call.attempt_id, None)
+            self._waiting.pop(id(call), None)
             self._log.waited(
                 call.attempt_id,
                 seconds=loop.time() - began_at,
@@ -199,7 +200,7 @@
             )
 
     def _resolve(self, call: Call, decision: _Choice | Refuse) -> None:
-        waiting = self._waiting.pop(call.attempt_id, None)
+        waiting = self._waiting.pop(id(call), None)
         if waiting is None or waiting.future.done():
             return
         if isinstance(decision, Refuse):
--- a/bluebellshore/routing/waiting.py
+++ b/bluebellshore/routing/waiting.py
@@ -74,7 +74,8 @@
     ):
         self._most_waiting = most_waiting
         self._needed_seconds = needed_seconds
-        self._entries: dict[str, _Waiting] = {}
+        #: By identity: a caller may use the id of an attempt twice.
+        self._entries: dict[int, _Waiting] = {}
         self._work_by_customer: dict[CustomerId | None, float] = {}
         self._floor = 0.0
         self._displaced: list[_Waiting] = []
@@ -94,7 +95,7 @@
             return self._refuse("no place is expected in time", call, now)
         if len(self._entries) >= self._limit(call) and not self._displace(call):
             return self._refuse("too many requests wait", call, now)
-        self._entries[call.attempt_id] = _Waiting(call, now)
+        self._entries[id(call)] = _Waiting(call, now)
         work = self._work_by_customer.get(call.customer, 0.0)
         self._work_by_customer[call.customer] = max(work, self._floor)
         return Accepted(seconds)
@@ -124,7 +125,7 @@
 
     def withdraw(self, call: Call) -> bool:
         """Remove a request whose caller left. :return: False when it did not wait."""
-        entry = self._entries.get(call.attempt_id)
+        entry = self._entries.get(id(call))
         if entry is None:
             return False
         self._remove(entry)
@@ -175,7 +176,7 @@
         return [self._work_by_customer[customer] for customer in customers]
 
     def _remove(self, entry: _Waiting) -> None:
-        del self._entries[entry.call.attempt_id]
+        del self._entries[id(entry.call)]
         if not self._entries:
             self._work_by_customer = {
                 customer: work
--- a/tests/test_entry_whole_path.py
+++ b/tests/test_entry_whole_path.py
@@ -4,6 +4,7 @@
 
 from bluebellshore.load.fleet import wait_until
 from bluebellshore.platform.names import OWNED_HEADERS
+from bluebellshore.standin.operator import StandinRoute
 from bluebellshore.standin.runner import RunnerFault, event_of, plain_answer_of
 from tests.entry_system import KEY, EntryTestCase
 
@@ -326,3 +327,33 @@
         self.store.state.write_as_operator("servers", "bytes", b"\xff\x00")
         await self.wait_known(instance)
         await self.serve_many(instance)
+
+    async def test_attempts_of_one_id_leave_others_alone(self):
+        # The objective is long enough for all to wait.
+        route = StandinRoute(
+            "/open/",
+            "safe",
+            "plain",
+            anonymous=True,
+            objective_seconds=60.0,
+            timeout_seconds=90.0,
+        )
+        self.configure(routes=[route])
+        runner = await self.add_runner("plain-a", slots=1)
+        instance = await self.start_router(self.instance())
+        await self.wait_known(instance)
+        runner.gate.clear()
+        # The first one runs; of the others with its id, all wait.
+        same = self.headers(self.attempt_id(), deadline_ms=60_000)
+        tasks = [
+            asyncio.create_task(self.call(instance, "/open/a", headers=same))
+            for _ in range(4)
+        ]
+        await wait_until(lambda: runner.at_work, "the run")
+        own = asyncio.create_task(self.call(instance, "/open/a"))
+        await asyncio.sleep(0.1)
+        runner.gate.set()
+        status, _, _ = await own
+        self.assertEqual(200, status)
+        for status, _, _ in await asyncio.gather(*tasks):
+            self.assertEqual(200, status)
