--- a/bluebellshore/cli/main.py
+++ b/bluebellshore/cli/main.py
@@ -24,6 +24,7 @@
     StandinCommand,
 )
 from bluebellshore.cli.settings import SettingsCommand
+from bluebellshore.cli.soak import SoakCommand
 from bluebellshore.cli.trials import (
     DemoCommand,
     ExperimentCommand,
@@ -79,6 +80,7 @@
         | DemoCommand
         | LoadCommand
         | ExperimentCommand
+        | SoakCommand
     ]
 
 
--- /dev/null
+++ b/bluebellshore/soak/checks.py
@@ -0,0 +1,200 @@
+"""Checks of promises by what callers and backend servers saw."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+import msgspec
+
+from bluebellshore.platform.names import KEY_HEADER, TENANT_HEADER
+from bluebellshore.soak.callers import PAID_COST, Kind, Sent, right_answer
+from bluebellshore.soak.faults import Happened
+from bluebellshore.soak.schedule import Action
+from bluebellshore.soak.system import CUSTOMERS, PAID
+from bluebellshore.standin.runner import Arrival
+
+__all__ = ["Broken", "Record", "check"]
+
+#: Answers that promise that a request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+#: Undisturbed time after which a router's promises with a time bound hold, and the
+#: bounds; the settings of the run say the same with less slack.
+CONTACT_SECONDS = 4.0
+DRAIN_SECONDS = 4.0
+
+
+class Broken(msgspec.Struct, frozen=True):
+    """A promise that was broken.
+
+    :param promise: its name.
+    :param request: attempt id, or the process concerned.
+    """
+
+    promise: str
+    request: str
+    detail: str
+    router: str = ""
+
+
+class Record(msgspec.Struct):
+    """What was seen in a run.
+
+    :param left_at: by id of a backend server, when the store took that it leaves.
+    :param prepaid: the highest total that was ever in force.
+    """
+
+    sent: list[Sent]
+    arrivals: list[Arrival]
+    left_at: dict[str, float]
+    prepaid: int
+    happened: list[Happened]
+    ended: list[str]
+
+
+def check(record: Record) -> list[Broken]:
+    """Return the promises that a run broke."""
+    by_attempt: dict[str, list[Arrival]] = defaultdict(list)
+    for seen in record.arrivals:
+        by_attempt[seen.attempt_id].append(seen)
+    broken = [Broken("own end", name, name, name.split()[0]) for name in record.ended]
+    for sent in record.sent:
+        broken += _check_runs(sent, by_attempt[sent.attempt_id])
+        broken += _check_answer(sent)
+        broken += _check_stop(sent, by_attempt[sent.attempt_id], record.happened)
+    broken += _check_arrivals(record.sent, record.arrivals)
+    broken += _check_budget(record)
+    broken += _check_drain(record)
+    broken += _check_configurations(record.sent)
+    return broken
+
+
+def _check_runs(sent: Sent, arrivals: Sequence[Arrival]) -> Iterable[Broken]:
+    runs = sum(seen.ran for seen in arrivals)
+    if sent.kind.repeatable:
+        return
+    if runs > 1:
+        where = [f"{seen.runner_id} {seen.outcome}" for seen in arrivals]
+        yield Broken("never twice", sent.attempt_id, str(where), sent.router)
+    if runs and sent.status in PROMISES and not sent.signed:
+        detail = f"answered {sent.status} and ran {runs} times"
+        yield Broken("true refusals", sent.attempt_id, detail, sent.router)
+
+
+def _check_answer(sent: Sent) -> Iterable[Broken]:
+    if not 200 <= sent.status < 300:
+        return
+    right = right_answer(sent)
+    problem = ""
+    if not sent.signed or sent.answered_id != sent.attempt_id:
+        problem = f"signed {sent.signed}, of {sent.answered_id!r}"
+    elif sent.whole and sent.answer != right:
+        problem = f"whole, but {sent.answer[-80:]!r}"
+    elif not right.startswith(sent.answer):
+        problem = f"not the begin of its answer: {sent.answer[-80:]!r}"
+    if problem:
+        yield Broken("whole answers", sent.attempt_id, problem, sent.router)
+
+
+def _check_stop(
+    sent: Sent, arrivals: Sequence[Arrival], happened: Sequence[Happened]
+) -> Iterable[Broken]:
+    """A request that was passed on is answered, with planned work alone around it."""
+    if sent.left or not sent.error or not any(seen.ran for seen in arrivals):
+        return
+    if any(seen.outcome not in ("done", "left", "running") for seen in arrivals):
+        return
+    around = [
+        other.fault
+        for other in happened
+        if other.began_at < sent.ended_at and other.ended_at > sent.at - CONTACT_SECONDS
+    ]
+    if around and all(fault.action.planned for fault in around):
+        work = ", ".join(sorted({fault.action.value for fault in around}))
+        detail = f"{sent.error}, status {sent.status}, around it {work}"
+        yield Broken("planned work cuts nothing", sent.attempt_id, detail, sent.router)
+
+
+def _check_arrivals(
+    all_sent: Sequence[Sent], arrivals: Sequence[Arrival]
+) -> Iterable[Broken]:
+    by_attempt = {sent.attempt_id: sent for sent in all_sent}
+    for seen in arrivals:
+        sent = by_attempt.get(seen.attempt_id)
+        if sent is None:
+            yield Broken("only what was asked", seen.attempt_id, "unknown id")
+            continue
+        asked = ("POST", sent.path, sent.body, sent.customer)
+        customer = seen.headers.get(TENANT_HEADER.lower())
+        if asked != (seen.method, seen.target, seen.body, customer):
+            detail = f"{seen.method} {seen.target} for {customer}"
+            yield Broken("only what was asked", seen.attempt_id, detail, sent.router)
+        keys = [key for key in CUSTOMERS.values() if key in seen.headers.values()]
+        if keys or KEY_HEADER.lower() in seen.headers:
+            yield Broken("keys stay here", seen.attempt_id, "key passed on")
+        service = "streams" if sent.kind.streams else "plain"
+        if seen.ran and not seen.runner_id.startswith(service):
+            yield Broken("routes", seen.attempt_id, f"ran at {seen.runner_id}")
+
+
+def _check_budget(record: Record) -> Iterable[Broken]:
+    paid = {sent.attempt_id for sent in record.sent if sent.customer == PAID}
+    runs = Counter(
+        seen.attempt_id
+        for seen in record.arrivals
+        if seen.ran and seen.attempt_id in paid
+    )
+    spent = runs.total() * PAID_COST
+    if spent > record.prepaid:
+        detail = f"{spent} tokens spent of {record.prepaid}"
+        yield Broken("prepaid totals", PAID, detail)
+
+
+def _check_drain(record: Record) -> Iterable[Broken]:
+    for seen in record.arrivals:
+        left_at = record.left_at.get(seen.runner_id)
+        if left_at is None or seen.outcome == "misdirected":
+            continue
+        disturbed = [
+            other
+            for other in record.happened
+            if other.began_at < seen.at
+            and other.ended_at + CONTACT_SECONDS > left_at
+            and other.fault.action is not Action.SERVER_DRAIN
+        ]
+        late = seen.at - left_at
+        if late > DRAIN_SECONDS and not disturbed:
+            detail = f"reached {seen.runner_id} {late:.2f} s after it left"
+            yield Broken("drain", seen.attempt_id, detail)
+
+
+def _check_configurations(all_sent: Sequence[Sent]) -> Iterable[Broken]:
+    """Once a life of a router served an added route, it never denies it again."""
+    served: dict[tuple[str, int], list[Sent]] = defaultdict(list)
+    for sent in all_sent:
+        if sent.kind is Kind.ADDED and sent.status and sent.life == sent.life_at_end:
+            served[sent.router, sent.life].append(sent)
+    for requests in served.values():
+        yield from _check_life(requests)
+
+
+def _check_life(requests: Iterable[Sent]) -> Iterable[Broken]:
+    by_end = sorted(requests, key=lambda sent: sent.ended_at)
+    for denied in (sent for sent in by_end if sent.status == 404):
+        for other in by_end:
+            known = other.status != 404 and other.number >= denied.number
+            if known and other.ended_at < denied.at and _came_through(other):
+                detail = (
+                    f"404 for configuration {denied.number}, which "
+                    f"{other.attempt_id} had shown in force"
+                )
+                yield Broken("never back", denied.attempt_id, detail, denied.router)
+                break
+
+
+def _came_through(sent: Sent) -> bool:
+    """Whether its answer shows that its route was in force."""
+    return sent.signed
+
+
+def promises_of(broken: Iterable[Broken]) -> Mapping[str, int]:
+    """Return how often each promise was broken."""
+    return Counter(item.promise for item in broken)
--- /dev/null
+++ b/bluebellshore/soak/schedule.py
@@ -0,0 +1,150 @@
+"""Draws which faults happen when; the same seed gives the same schedule."""
+
+import random
+from enum import Enum
+
+import msgspec
+
+__all__ = ["Action", "Fault", "Schedule", "draw_schedule"]
+
+#: Calm time at the begin, in which everything starts to serve.
+LEAD_SECONDS = 1.0
+#: Mean time between the starts of two faults; several overlap.
+MEAN_PAUSE_SECONDS = 1.2
+MIN_SECONDS, MAX_SECONDS = 0.3, 5.0
+#: Share of faults that come as a series on one target, and the pause within it.
+SERIES_SHARE = 0.25
+SERIES_LENGTH = 3
+SERIES_PAUSE_SECONDS = 0.4
+RUNNERS = 6
+
+
+class Action(Enum):
+    """What a fault does; its target is a router, a backend server or nothing."""
+
+    ROUTER_STOP = "router-stop"
+    ROUTER_KILL = "router-kill"
+    ROUTER_PAUSE = "router-pause"
+    ROUTER_RELOAD = "router-reload"
+    STORE_LINK_CUT = "store-link-cut"
+    STORE_LINK_REFUSED = "store-link-refused"
+    STORE_LINK_DELAYED = "store-link-delayed"
+    STORE_LINK_ONE_WAY = "store-link-one-way"
+    STORE_LINK_SILENT = "store-link-silent"
+    CALLER_LINK_CUT = "caller-link-cut"
+    CALLER_LINK_DELAYED = "caller-link-delayed"
+    CALLER_LINK_ONE_WAY = "caller-link-one-way"
+    SERVER_LINK_CUT = "server-link-cut"
+    SERVER_LINK_REFUSED = "server-link-refused"
+    SERVER_LINK_DELAYED = "server-link-delayed"
+    SERVER_LINK_ONE_WAY = "server-link-one-way"
+    SERVER_LINK_SILENT = "server-link-silent"
+    SERVER_CRASH = "server-crash"
+    SERVER_DRAIN = "server-drain"
+    SERVER_SPOILS = "server-spoils"
+    STORE_OUT = "store-out"
+    STORE_SILENT = "store-silent"
+    STORE_SLOW = "store-slow"
+    STORE_LOSES_ANSWERS = "store-loses-answers"
+    STORE_LATE = "store-late"
+    STORE_FORGETS = "store-forgets"
+    CONFIGURATION = "configuration"
+    TOP_UP = "top-up"
+
+    @property
+    def planned(self) -> bool:
+        """Whether it is an operator's planned work, which must cut nothing."""
+        return self in _PLANNED
+
+    @property
+    def on_router(self) -> bool:
+        """Whether its target is a router."""
+        return self.value.startswith(("router", "store-link", "caller"))
+
+    @property
+    def on_server(self) -> bool:
+        """Whether its target is a backend server."""
+        return self.value.startswith("server")
+
+
+_PLANNED = frozenset(
+    {
+        Action.ROUTER_STOP,
+        Action.ROUTER_RELOAD,
+        Action.CONFIGURATION,
+        Action.TOP_UP,
+        Action.SERVER_DRAIN,
+    }
+)
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault.
+
+    :param at: seconds from the start of the run.
+    :param seconds: how long it lasts, where that has a meaning.
+    :param target: number of the router or backend server.
+    :param strength: 0 to 1; delays and shares grow with it.
+    """
+
+    at: float
+    action: Action
+    seconds: float
+    target: int = 0
+    strength: float = 0.5
+
+    def __str__(self) -> str:
+        return (
+            f"{self.at:6.2f} s  {self.action.value} target {self.target} "
+            f"for {self.seconds:.2f} s, strength {self.strength:.2f}"
+        )
+
+
+class Schedule(msgspec.Struct, frozen=True):
+    """The faults of one run, by time.
+
+    :param seconds: time in which faults begin.
+    """
+
+    seed: int
+    seconds: float
+    routers: int
+    faults: tuple[Fault, ...]
+
+    @property
+    def end(self) -> float:
+        """Time at which the last fault has ended."""
+        return max((f.at + f.seconds for f in self.faults), default=self.seconds)
+
+    def without(self, left_out: set[int]) -> "Schedule":
+        """Return the schedule without the faults of these positions."""
+        kept = tuple(f for i, f in enumerate(self.faults) if i not in left_out)
+        return msgspec.structs.replace(self, faults=kept)
+
+
+def draw_schedule(seed: int, seconds: float, routers: int) -> Schedule:
+    """Return the schedule of a seed.
+
+    :param routers: entry processes.
+    """
+    rng = random.Random(seed)
+    faults: list[Fault] = []
+    at = LEAD_SECONDS
+    while at < seconds:
+        action = rng.choice(list(Action))
+        length = SERIES_LENGTH if rng.random() < SERIES_SHARE else 1
+        targets = routers if action.on_router else RUNNERS
+        target = rng.randrange(targets)
+        for number in range(length):
+            faults.append(
+                Fault(
+                    at=round(at + number * SERIES_PAUSE_SECONDS, 3),
+                    action=action,
+                    seconds=round(rng.uniform(MIN_SECONDS, MAX_SECONDS), 3),
+                    target=target,
+                    strength=round(rng.random(), 3),
+                )
+            )
+        at += rng.expovariate(1 / MEAN_PAUSE_SECONDS)
+    faults.sort(key=lambda fault: fault.at)
+    return Schedule(seed, seconds, routers, tuple(faults))
--- a/tests/entry_system.py
+++ b/tests/entry_system.py
@@ -4,12 +4,10 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import itertools
 import os
 import pathlib
-import socket
 import sys
 import tempfile
 import unittest
@@ -32,8 +30,9 @@
 from bluebellshore.standin.platform import PlatformStandin
 from bluebellshore.standin.runner import RunnerSettings, StandinRunner
 from bluebellshore.standin.runner_entries import RunnerEntries
+from bluebellshore.standin.server import free_low_address
 
-__all__ = ["HOST", "KEY", "EntryTestCase", "Instance", "free_loopback"]
+__all__ = ["HOST", "KEY", "EntryTestCase", "Instance"]
 
 HOST = "api.example"
 KEY = "key-of-acme"
@@ -47,17 +46,6 @@
 CUSTOMERS = (StandinCustomer("acme", (KEY,)),)
 HEARTBEAT_SECONDS = 0.2
 STOP_SECONDS = 20.0
-_ports = itertools.count(12_000 + os.getpid() * 37 % 15_000)
-
-
-def free_loopback() -> str:
-    """Return an address outside of the range from which connections take theirs."""
-    for port in _ports:
-        with socket.socket() as probe:
-            with contextlib.suppress(OSError):
-                probe.bind(("127.0.0.1", port))
-                return f"127.0.0.1:{port}"
-    raise AssertionError("no port is free")
 
 
 @dataclasses.dataclass
@@ -72,7 +60,7 @@
         self.path = directory / f"{name}.json"
         self.name = name
         self.store = store
-        self.listen, self.ready, self.peer = (free_loopback() for _ in range(3))
+        self.listen, self.ready, self.peer = (free_low_address() for _ in range(3))
         self.peers: tuple[str, ...] = ()
         self.process: ManagedProcess | None = None
         self.router: EntryRouter | None = None
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,231 @@
+"""Tests of the fault soak: its schedules, its checks, and short runs."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import msgspec
+
+from bluebellshore.soak import run
+from bluebellshore.soak.callers import PAID_COST, Kind, Sent, right_answer
+from bluebellshore.soak.checks import Broken, Record, check
+from bluebellshore.soak.faults import Happened
+from bluebellshore.soak.run import Outcome, run_schedule, seek_smaller
+from bluebellshore.soak.schedule import (
+    Action,
+    Fault,
+    Schedule,
+    draw_schedule,
+)
+from bluebellshore.standin.runner import Arrival
+
+#: Seeds of short runs, with the cause for which each is here.
+SEEDS = {1: "a first one without a finding"}
+SECONDS = 8.0
+ROUTERS = 2
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_same_seed_gives_the_same_schedule(self):
+        self.assertEqual(draw_schedule(7, 60.0, 3), draw_schedule(7, 60.0, 3))
+        self.assertNotEqual(
+            draw_schedule(7, 60.0, 3).faults, draw_schedule(8, 60.0, 3).faults
+        )
+
+    def test_all_kinds_of_faults_are_drawn(self):
+        faults = draw_schedule(1, 600.0, 3).faults
+        self.assertEqual(set(Action), {fault.action for fault in faults})
+
+    def test_faults_are_left_out_by_position(self):
+        schedule = draw_schedule(7, 60.0, 3)
+        smaller = schedule.without({0, 2})
+        self.assertEqual(schedule.faults[1:2] + schedule.faults[3:], smaller.faults)
+
+
+def sent(kind=Kind.UNSAFE, **changes):
+    values = {
+        "attempt_id": "a-1",
+        "kind": kind,
+        "router": "entry-0",
+        "life": 1,
+        "life_at_end": 1,
+        "path": f"/{kind.value}/x",
+        "body": b"body",
+        "customer": "acme",
+        "at": 10.0,
+        "ended_at": 10.5,
+        "status": 200,
+        "signed": True,
+        "answered_id": "a-1",
+        "whole": True,
+    }
+    made = Sent(**(values | changes))
+    if "answer" not in changes and made.status == 200:
+        made.answer = right_answer(made)
+    return made
+
+
+def arrival(of, **changes):
+    service = "streams" if of.kind.streams else "plain"
+    values = {
+        "attempt_id": of.attempt_id,
+        "runner_id": f"{service}-0-1",
+        "method": "POST",
+        "target": of.path,
+        "headers": {"x-tenant": of.customer},
+        "body": of.body,
+        "at": 10.1,
+        "ran": True,
+        "outcome": "done",
+    }
+    return Arrival(**(values | changes))
+
+
+class ChecksTest(unittest.TestCase):
+    def promises(self, all_sent, arrivals, **changes):
+        values = {"left_at": {}, "prepaid": 1000, "happened": [], "ended": []}
+        record = Record(sent=all_sent, arrivals=arrivals, **(values | changes))
+        return {item.promise for item in check(record)}
+
+    def test_proper_requests_break_nothing(self):
+        for kind in Kind:
+            with self.subTest(kind):
+                one = sent(kind)
+                self.assertEqual(set(), self.promises([one], [arrival(one)]))
+
+    def test_two_runs_break_what_may_run_once(self):
+        for kind in Kind:
+            with self.subTest(kind):
+                one = sent(kind)
+                expected = set() if kind.repeatable else {"never twice"}
+                self.assertEqual(expected, self.promises([one], [arrival(one)] * 2))
+
+    def test_refusal_of_what_ran_is_untrue(self):
+        for status in (408, 421, 429, 503):
+            one = sent(status=status, signed=False)
+            self.assertEqual({"true refusals"}, self.promises([one], [arrival(one)]))
+            refused = arrival(one, ran=False, outcome="full")
+            self.assertEqual(set(), self.promises([one], [refused]))
+        for status in (502, 504):
+            one = sent(status=status, signed=False)
+            self.assertEqual(set(), self.promises([one], [arrival(one)]))
+
+    def test_answers_are_whole_and_the_callers_own(self):
+        right = right_answer(sent(Kind.STREAM))
+        for changes in (
+            {"answer": right[:-5]},
+            {"answer": b"other", "whole": False},
+            {"signed": False},
+            {"answered_id": "a-2"},
+        ):
+            with self.subTest(changes):
+                one = sent(Kind.STREAM, **changes)
+                self.assertEqual(
+                    {"whole answers"}, self.promises([one], [arrival(one)])
+                )
+        broken_off = sent(Kind.STREAM, answer=right[:-5], whole=False)
+        self.assertEqual(set(), self.promises([broken_off], [arrival(broken_off)]))
+
+    def test_only_what_was_asked_runs(self):
+        one = sent()
+        for changes in (
+            {"attempt_id": "a-2"},
+            {"body": b"other"},
+            {"target": "/other"},
+            {"headers": {"x-tenant": "forged"}},
+        ):
+            with self.subTest(changes):
+                self.assertEqual(
+                    {"only what was asked"},
+                    self.promises([one], [arrival(one, **changes)]),
+                )
+        leaked = arrival(one, headers={"x-tenant": "acme", "x-own": "key-of-acme"})
+        self.assertEqual({"keys stay here"}, self.promises([one], [leaked]))
+        strange = arrival(one, runner_id="streams-1-1")
+        self.assertEqual({"routes"}, self.promises([one], [strange]))
+
+    def test_prepaid_totals_hold(self):
+        paid = [
+            sent(Kind.PAID, attempt_id=f"a-{n}", answered_id=f"a-{n}", customer="paid")
+            for n in range(4)
+        ]
+        runs = [arrival(one) for one in paid]
+        self.assertEqual(set(), self.promises(paid, runs, prepaid=4 * PAID_COST))
+        self.assertEqual(
+            {"prepaid totals"}, self.promises(paid, runs, prepaid=4 * PAID_COST - 1)
+        )
+
+    def test_leaving_server_gets_nothing_late(self):
+        one = sent()
+        left = {"plain-0-1": 1.0}
+        self.assertEqual({"drain"}, self.promises([one], [arrival(one)], left_at=left))
+        fault = Fault(0.0, Action.STORE_LINK_CUT, 1.0)
+        disturbed = [Happened(fault, 2.0, 3.0)]
+        self.assertEqual(
+            set(),
+            self.promises([one], [arrival(one)], left_at=left, happened=disturbed),
+        )
+
+    def test_planned_work_cuts_nothing(self):
+        one = sent(status=0, signed=False, whole=False, error="reset")
+        stop = Happened(Fault(0.0, Action.ROUTER_STOP, 1.0), 9.0, 12.0)
+        kill = Happened(Fault(0.0, Action.ROUTER_KILL, 1.0), 9.0, 9.1)
+        for happened, expected in (
+            ([stop], {"planned work cuts nothing"}),
+            ([stop, kill], set()),
+        ):
+            self.assertEqual(
+                expected, self.promises([one], [arrival(one)], happened=happened)
+            )
+        unread = self.promises([one], [], happened=[stop])
+        self.assertEqual(set(), unread)
+
+    def test_configuration_never_goes_back(self):
+        shown = sent(Kind.ADDED, number=3, attempt_id="a-1")
+        denied = sent(
+            Kind.ADDED,
+            number=2,
+            attempt_id="a-2",
+            at=11.0,
+            ended_at=11.1,
+            status=404,
+            signed=False,
+            answer=b"",
+        )
+        arrivals = [arrival(shown)]
+        self.assertEqual({"never back"}, self.promises([shown, denied], arrivals))
+        denied.life = denied.life_at_end = 2
+        self.assertEqual(set(), self.promises([shown, denied], arrivals))
+
+    def test_own_ends_are_told(self):
+        self.assertEqual(
+            {"own end"}, self.promises([], [], ended=["entry-0 life 1: exit code 1"])
+        )
+
+
+class SmallerScheduleTest(unittest.IsolatedAsyncioTestCase):
+    async def test_faults_that_do_not_matter_are_left_out(self):
+        schedule = draw_schedule(3, 30.0, 2)
+        needed = schedule.faults[len(schedule.faults) // 3]
+
+        async def fake(tried):
+            broken = [Broken("p", "a", "")] if needed in tried.faults else []
+            return Outcome(tried, broken, {}, {})
+
+        with mock.patch.object(run, "run_schedule", fake):
+            smallest = await seek_smaller(await fake(schedule), 200)
+        self.assertEqual((needed,), smallest.schedule.faults)
+
+
+class SoakTest(unittest.TestCase):
+    def test_seeds_keep_all_promises(self):
+        for seed, cause in SEEDS.items():
+            with self.subTest(seed=seed, cause=cause):
+                schedule = draw_schedule(seed, SECONDS, ROUTERS)
+                outcome = asyncio.run(run_schedule(schedule))
+                self.assertEqual([], outcome.promises, outcome.report())
+
+    def test_schedules_are_messages(self):
+        schedule = draw_schedule(3, 30.0, 2)
+        encoded = msgspec.json.encode(schedule)
+        self.assertEqual(schedule, msgspec.json.decode(encoded, type=Schedule))
