Treat a caller that resets between two writes as one that left

Cause: a write to a connection that closes raises ConnectionError; the port passed it on to aiohttp as an internal error, with a traceback on standard error for each such caller. Ruled out: a wrong end of the request's own work: its budget and place were given back. Conclusion: the request ends as left, its connection is broken off.

--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -118,9 +118,13 @@
             if began:
                 return sink.abort()
             return self._refuse(status, error.message, error.retry_after)
-        except (asyncio.CancelledError, ConnectionError):
+        except asyncio.CancelledError:
             ends.left(trace, sink.status, now())
             raise
+        except ConnectionError:
+            # The caller's: it left between two writes.
+            ends.left(trace, sink.status, now())
+            return sink.abort()
         except Exception as error:
             ends.broken(trace, error, now())
             raise
@@ -246,4 +250,4 @@
         """Break the answer off, so that it does not look whole."""
         if self._request.transport is not None:
             self._request.transport.abort()
-        return self.response
+        return self.response or web.Response()
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -360,3 +360,19 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class LeavingCallerTest(EntryCase):
+    async def test_caller_that_leaves_between_two_writes_is_no_internal_error(self):
+        async def serve(call, sink, trace):
+            await sink.start(200, [], None)
+            await sink.write(b"begin")
+            sink._request.transport.abort()
+            await sink.write(b"rest")
+
+        self.ingress._serve = serve
+        with self.assertNoLogs("aiohttp.server", "ERROR"):
+            with self.assertRaises(aiohttp.ClientError):
+                async with self.get() as response:
+                    await response.read()
+        self.assertEqual(self.line("ended")["outcome"], "left")
