Check in the soak that work ends with its caller; show whole tracebacks

Cause: a report named an internal error by its first line only, and kept 200 lines. Ruled out: judging work at servers whose links were silenced: they can't be told.

--- a/bluebellshore/soak/checks.py
+++ b/bluebellshore/soak/checks.py
@@ -1,7 +1,7 @@
 """Checks of promises by what callers and backend servers saw."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -20,6 +20,9 @@
 #: bounds; the settings of the run say the same with less slack.
 CONTACT_SECONDS = 4.0
 DRAIN_SECONDS = 4.0
+#: Time after which nothing may still run for a caller that has its answer or left:
+#: the longest deadline of callers and time to spare.
+WORK_ENDS_SECONDS = 8.0
 
 
 class Broken(msgspec.Struct, frozen=True):
@@ -40,6 +43,8 @@
 
     :param left_at: by id of a backend server, when the store took that it leaves.
     :param prepaid: the highest total that was ever in force.
+    :param ended: ends of processes that nobody asked for.
+    :param ended_at: monotonic seconds of the end of the run.
     """
 
     sent: list[Sent]
@@ -48,6 +53,7 @@
     prepaid: int
     happened: list[Happened]
     ended: list[str]
+    ended_at: float = 0.0
 
 
 def check(record: Record) -> list[Broken]:
@@ -64,6 +70,7 @@
     broken += _check_budget(record)
     broken += _check_drain(record)
     broken += _check_configurations(record.sent)
+    broken += _check_work_ends(record)
     return broken
 
 
@@ -166,6 +173,24 @@
             yield Broken("drain", seen.attempt_id, detail)
 
 
+def _check_work_ends(record: Record) -> Iterable[Broken]:
+    """At the end nothing runs on for callers that left long ago.
+
+    A connection that was silenced never tells the backend server that it closed.
+    """
+    if any(h.fault.action is Action.SERVER_LINK_SILENT for h in record.happened):
+        return
+    by_attempt = {sent.attempt_id: sent for sent in record.sent}
+    for seen in record.arrivals:
+        sent = by_attempt.get(seen.attempt_id)
+        if sent is None or seen.ended_at or not sent.ended_at:
+            continue
+        waited = record.ended_at - sent.ended_at
+        if waited > WORK_ENDS_SECONDS:
+            detail = f"still at work at {seen.runner_id} {waited:.1f} s later"
+            yield Broken("work ends", seen.attempt_id, detail, sent.router)
+
+
 def _check_configurations(all_sent: Sequence[Sent]) -> Iterable[Broken]:
     """Once a life of a router served an added route, it never denies it again."""
     served: dict[tuple[str, int], list[Sent]] = defaultdict(list)
@@ -193,8 +218,3 @@
 def _came_through(sent: Sent) -> bool:
     """Whether its answer shows that its route was in force."""
     return sent.signed
-
-
-def promises_of(broken: Iterable[Broken]) -> Mapping[str, int]:
-    """Return how often each promise was broken."""
-    return Counter(item.promise for item in broken)
--- a/bluebellshore/soak/run.py
+++ b/bluebellshore/soak/run.py
@@ -23,6 +23,8 @@
 CALM_SECONDS = 1.5
 POLL_SECONDS = 0.3
 MAX_LINES = 40
+#: Lines of a process that tell of an internal error.
+TRACE_LINES = 40
 
 
 class Outcome(msgspec.Struct):
@@ -78,6 +80,7 @@
             prepaid=system.prepaid,
             happened=faults.happened,
             ended=[text for router in system.routers for text in router.ended],
+            ended_at=time.monotonic(),
         )
         broken = check(record) + silent + _tracebacks(system)
         names = {item.router for item in broken}
@@ -114,13 +117,16 @@
 
 
 def _tracebacks(system: SoakSystem) -> list[Broken]:
-    return [
-        Broken("no internal errors", router.name, line[:2000], router.name)
-        for router in system.routers
-        for process in router.outputs
-        for line in process.output
-        if "Traceback" in line or "traceback" in line
-    ]
+    found = []
+    for router in system.routers:
+        for process in router.outputs:
+            lines = list(process.output)
+            for first, line in enumerate(lines):
+                if "Traceback" in line or "traceback" in line:
+                    detail = "\n".join(lines[first : first + TRACE_LINES])
+                    name = router.name
+                    found.append(Broken("no internal errors", name, detail, name))
+    return found
 
 
 def _ending(sent) -> str:
--- a/bluebellshore/soak/system.py
+++ b/bluebellshore/soak/system.py
@@ -1,6 +1,7 @@
 """Entry processes between a stand-in store, backend servers and fault proxies."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import os
@@ -44,6 +45,8 @@
 #: From SIGTERM to SIGKILL, as short as the router's own leaving allows with work.
 STOP_SECONDS = 8.0
 SLOTS = 8
+#: Lines of a process that are kept for the report.
+OUTPUT_LINES = 20_000
 
 
 @dataclasses.dataclass
@@ -88,6 +91,8 @@
         process = ManagedProcess(
             self.name, ("-m", "bluebellshore.entry"), _NoFlags(), program=program
         )
+        # Lines on one request may lie far apart.
+        process.output = collections.deque(maxlen=OUTPUT_LINES)
         await process.start()
         self.lives += 1
         self.process = process
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -197,6 +197,14 @@
         denied.life = denied.life_at_end = 2
         self.assertEqual(set(), self.promises([shown, denied], arrivals))
 
+    def test_work_ends_with_its_caller(self):
+        one = sent(status=0, left=True, signed=False, whole=False)
+        runs = [arrival(one, outcome="running")]
+        self.assertEqual({"work ends"}, self.promises([one], runs, ended_at=30.0))
+        self.assertEqual(set(), self.promises([one], runs, ended_at=12.0))
+        runs[0].ended_at = 10.6
+        self.assertEqual(set(), self.promises([one], runs, ended_at=30.0))
+
     def test_own_ends_are_told(self):
         self.assertEqual(
             {"own end"}, self.promises([], [], ended=["entry-0 life 1: exit code 1"])
