--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections import deque
 from collections.abc import Callable
 
 import grpc
@@ -11,6 +12,8 @@
 from bluebellshore.decisions import Contact, DecisionLog, silent_log
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.loans import Lender, Loan
+from bluebellshore.entry.rollout_messages import read_reports, write_reports
+from bluebellshore.entry.rollouts import Rollouts
 from bluebellshore.errors import LinkError
 from bluebellshore.ids import (
     BackendServerId,
@@ -35,8 +38,11 @@
 QUIET_SECONDS = 0.6
 #: Longest wait for a peer's answer.
 CALL_SECONDS = 0.6
-#: Peers that one router tells in a round; more take turns.
+#: Peers that one router calls in a round; more take turns. Half of the others are
+#: enough, as an exchange tells both.
 PEERS_A_ROUND = 6
+#: Rounds of which a peer is told later when it was not called.
+ROUNDS_REMEMBERED = 64
 #: A peer that gave no sign for this long is not counted as serving.
 ALIVE_SECONDS = 2.0
 #: Failed calls after which a peer's connection is made anew, as it may be silent.
@@ -61,6 +67,7 @@
     :param seen_at: monotonic seconds of its last sign.
     :param in_contact: whether the log says so.
     :param failure: what the last failed exchange showed.
+    :param told: number of the last round of which it was told.
     """
 
     address: str
@@ -72,6 +79,18 @@
     failures: int = 0
     next_at: float = 0.0
     leaving: bool = False
+    told: int = 0
+
+
+class _News(msgspec.Struct, frozen=True):
+    """What a router tells each peer once.
+
+    :param number: of the round.
+    """
+
+    number: int
+    report: LoadReport
+    crashes: list[CrashSeen]
 
 
 class Peers(peer_pb2_grpc.PeersServicer):
@@ -104,10 +123,14 @@
         self._store_lost = store_lost
         self._server: grpc.aio.Server | None = None
         self._channels: dict[str, grpc.aio.Channel] = {}
+        self._news: deque[_News] = deque(maxlen=ROUNDS_REMEMBERED)
+        self._rounds = 0
         self.peers_by_address: dict[str, Peer] = {}
         self.leaving = False
         #: Lends tokens of this router; None until budgets are open.
         self.lender: Lender | None = None
+        #: Takes and gives what routers tell of rollouts; None until it is set.
+        self.rollouts: Rollouts | None = None
         self.meet(seeds)
 
     def meet(self, addresses: list[str] | tuple[str, ...]) -> None:
@@ -145,49 +168,72 @@
             await asyncio.sleep(EXCHANGE_SECONDS * random.uniform(0.8, 1.2))
             now = time.monotonic()
             self._note_lost(now)
-            report = self._book.report()
+            report = self._gather_news()
             busy = report.loads_by_server or report.parts or report.results_by_server
             busy = busy or self._store_lost()
+            busy = busy or (self.rollouts is not None and self.rollouts.busy)
             if not busy and now - quiet_since < QUIET_SECONDS:
                 continue
             quiet_since = now
-            state = self._state(report)
-            calls = [self._tell(peer, state) for peer in self._round(now)]
+            calls = [self._tell(peer) for peer in self._round(now)]
             if calls:
                 await asyncio.gather(*calls)
 
+    def _gather_news(self) -> LoadReport:
+        """Note what is new for all peers. :return: the load book's report."""
+        report = self._book.report()
+        crashes = self._crashes.report()
+        if report.parts or report.results_by_server or crashes:
+            self._rounds += 1
+            self._news.append(_News(self._rounds, report, crashes))
+        return report
+
     async def Exchange(  # noqa: N802 (name of the generated interface)
         self, request: pb.PeerState, context: grpc.aio.ServicerContext
     ) -> pb.PeerReply:
         """Take what a peer tells, and answer with what it lacks."""
-        self.meet([request.address, *request.peers])
-        peer = self.peers_by_address.get(request.address)
+        peer = self._take(request)
+        reply = pb.PeerReply(state=self._state(peer))
         if peer is not None:
-            self._seen(peer, request.incarnation)
-            peer.instance_id = InstanceId(request.instance_id)
-            peer.leaving = request.leaving
-        self._crashes.merge(
-            (
-                CrashSeen(BackendServerId(seen.server), tuple(seen.fingerprints))
-                for seen in request.crashes
-            ),
-            time.monotonic(),
-        )
-        report = _report_of(request)
-        now = time.monotonic()
-        self._book.merge(IncarnationId(request.incarnation), report, now)
-        reply = pb.PeerReply(incarnation=self._incarnation)
-        reply.peers.extend(other.address for other in self.alive())
+            # An answer that is lost costs hints, nothing more.
+            peer.told = self._rounds
         if request.store_lost:
             versions = {item.table: item.version for item in request.versions}
             for table, change in self._knowledge.newer_than(versions).items():
                 reply.tables.append(_table_rows(table, change))
         return reply
 
+    def _take(self, state: pb.PeerState) -> Peer | None:
+        """Take in what a peer tells. :return: the peer, None when it has no address."""
+        self.meet([state.address, *state.peers])
+        incarnation = IncarnationId(state.incarnation)
+        peer = self.peers_by_address.get(state.address)
+        if peer is not None:
+            self._seen(peer, incarnation)
+            peer.instance_id = InstanceId(state.instance_id)
+            peer.leaving = state.leaving
+        now = time.monotonic()
+        self._crashes.merge(
+            (
+                CrashSeen(BackendServerId(seen.server), tuple(seen.fingerprints))
+                for seen in state.crashes
+            ),
+            now,
+        )
+        self._book.merge(incarnation, _report_of(state), now)
+        if self.rollouts is not None:
+            self.rollouts.merge(incarnation, read_reports(state))
+        return peer
+
     def reachable(self) -> list[IncarnationId]:
         """Return the incarnations that gave a sign lately."""
         return [peer.incarnation for peer in self.alive() if peer.incarnation]
 
+    def serving(self) -> list[IncarnationId]:
+        """Return the incarnations that gave a sign lately and aren't leaving."""
+        alive = [peer for peer in self.alive() if not peer.leaving]
+        return [peer.incarnation for peer in alive if peer.incarnation]
+
     async def borrow(self, peer: IncarnationId, loan: Loan) -> Tokens:
         """Have a router lend tokens.
 
@@ -240,11 +286,11 @@
 
     def _round(self, now: float) -> list[Peer]:
         due = [peer for peer in self.peers_by_address.values() if peer.next_at <= now]
-        if len(due) > PEERS_A_ROUND:
-            due = random.sample(due, PEERS_A_ROUND)
-        return due
+        count = min(PEERS_A_ROUND, (len(due) + 1) // 2)
+        return random.sample(due, count)
 
-    def _state(self, report: LoadReport) -> pb.PeerState:
+    def _state(self, peer: Peer | None) -> pb.PeerState:
+        """Return what a peer is told: work in hand, and what is new for it."""
         state = pb.PeerState(
             instance_id=self._instance_id,
             incarnation=self._incarnation,
@@ -254,32 +300,45 @@
         )
         for table, version in self._knowledge.versions().items():
             state.versions.add(table=table, version=version)
-        for server_id, load in report.loads_by_server.items():
+        for server_id, load in self._book.own_loads().items():
             state.loads.add(
                 server=server_id,
                 running=load.running,
                 prefill_tokens=max(0, load.prefill_tokens),
                 held_tokens=load.held_tokens,
             )
+        told = self._rounds if peer is None else peer.told
+        self._write_news(state, [news for news in self._news if news.number > told])
+        if self.rollouts is not None:
+            write_reports(self.rollouts.reports(), state)
+        state.peers.extend(other.address for other in self.alive())
+        return state
+
+    def _write_news(self, state: pb.PeerState, news: list[_News]) -> None:
         parts_by_server: dict[BackendServerId, list[PartSeen]] = {}
-        for seen in report.parts:
-            parts_by_server.setdefault(seen.server_id, []).append(seen)
+        results: dict[BackendServerId, ResultCounts] = {}
+        for item in news:
+            for seen in item.report.parts:
+                parts_by_server.setdefault(seen.server_id, []).append(seen)
+            for server_id, counts in item.report.results_by_server.items():
+                results.setdefault(server_id, ResultCounts()).add(counts)
+            for crash in item.crashes:
+                state.crashes.add(
+                    server=crash.server_id, fingerprints=crash.fingerprints
+                )
         for server_id, parts in parts_by_server.items():
             state.parts.add(
                 server=server_id,
                 parts=[part.part_id for part in parts],
                 tokens=[part.tokens for part in parts],
             )
-        for crash in self._crashes.report():
-            state.crashes.add(server=crash.server_id, fingerprints=crash.fingerprints)
-        for server_id, counts in report.results_by_server.items():
+        for server_id, counts in results.items():
             state.results.add(
                 server=server_id, good=counts.good, bad=counts.bad, lost=counts.lost
             )
-        state.peers.extend(peer.address for peer in self.alive())
-        return state
 
-    async def _tell(self, peer: Peer, state: pb.PeerState) -> None:
+    async def _tell(self, peer: Peer) -> None:
+        state, rounds = self._state(peer), self._rounds
         stub = peer_pb2_grpc.PeersStub(self._channel(peer.address))
         try:
             async with asyncio.timeout(CALL_SECONDS):
@@ -288,8 +347,8 @@
             await self._failed(peer, error)
             return
         peer.failures = 0
-        self._seen(peer, reply.incarnation)
-        self.meet(list(reply.peers))
+        peer.told = rounds
+        self._take(reply.state)
         now = time.monotonic()
         for table in reply.tables:
             # This router asked since it lost the store: entries may have lapsed.
@@ -302,6 +361,8 @@
         peer.seen_at = time.monotonic()
         renewed = peer.incarnation and peer.incarnation != incarnation
         peer.incarnation = IncarnationId(incarnation)
+        if renewed:
+            peer.told = 0
         if renewed or not peer.in_contact:
             peer.in_contact = True
             self._log.peer(
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -59,6 +59,10 @@
 PAGE_ROWS = 500
 #: Calls of one read under way at once.
 READS_AT_ONCE = 16
+#: Keys of one table from which on their range is read in one call, and the rows that
+#: it may have for each of them.
+LEAST_RANGE_KEYS = 4
+RANGE_ROWS_PER_KEY = 4
 JSON_HEADERS = {"Content-Type": "application/json"}
 HIGHEST_CHARACTER = "\U0010ffff"
 
@@ -111,13 +115,26 @@
     async def read(self, keys: Sequence[str]) -> dict[str, Row]:
         """Read rows; absent ones are left out. :return: rows by key."""
         slots = asyncio.Semaphore(READS_AT_ONCE)
+        keys_by_table: dict[str, list[str]] = {}
+        for key in sorted(set(keys)):
+            keys_by_table.setdefault(split_key(key)[0], []).append(key)
+
+        async def read_table(table: str, wanted: list[str]) -> list[Row]:
+            found, missing = [], wanted
+            if len(wanted) >= LEAST_RANGE_KEYS:
+                async with slots:
+                    found, missing = await self._read_range(table, wanted)
+            rows = await asyncio.gather(*map(read_one, missing))
+            return [*found, *(row for row in rows if row is not None)]
 
         async def read_one(key: str) -> Row | None:
             async with slots:
                 return await self._read_one(key)
 
-        found = await asyncio.gather(*map(read_one, dict.fromkeys(keys)))
-        return {row.key: row for row in found if row is not None}
+        tables = await asyncio.gather(
+            *(read_table(table, wanted) for table, wanted in keys_by_table.items())
+        )
+        return {row.key: row for rows in tables for row in rows}
 
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
         """Read rows in key order whose key has `prefix` and is above `after`."""
@@ -255,6 +272,24 @@
             if not page.names:
                 raise self._calls.malformed("an empty page with more to come", step)
 
+    async def _read_range(
+        self, table: str, keys: list[str]
+    ) -> tuple[list[Row], list[str]]:
+        """Read the range of some keys of a table in one call.
+
+        :param keys: in order.
+        :return: the rows found, and the keys that the answer did not reach.
+        """
+        first, last = split_key(keys[0])[1], split_key(keys[-1])[1]
+        limit = min(PAGE_ROWS, RANGE_ROWS_PER_KEY * len(keys))
+        page = await self._page(table, first, limit, last + "\0")
+        wanted = set(keys)
+        rows = [row_of(row) for row in page.rows if row.full_key in wanted]
+        if not page.has_more:
+            return rows, []
+        reached = page.rows[-1].full_key if page.rows else ""
+        return rows, [key for key in keys if key > reached]
+
     async def _read_one(self, key: str) -> Row | None:
         table, rest = split_key(key)
         page = await self._page(table, rest, 1)
--- /dev/null
+++ b/tests/test_entry_peers.py
@@ -0,0 +1,141 @@
+"""Tests of the exchange between entry routers, over real connections."""
+
+import asyncio
+import contextlib
+import socket
+import unittest
+
+from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.peers import Peers
+from bluebellshore.fleet import PromptPart, RouteKind
+from bluebellshore.ids import IncarnationId, InstanceId, PartId
+from bluebellshore.routing.crashing import CrashLedger
+from bluebellshore.routing.load import LoadBook
+from bluebellshore.store import TableChange
+from tests.entry_fixtures import call, route, server
+from tests.test_entry_knowledge import configuration_row
+
+#: Longest wait for what must come about; the exchange takes fractions of a second.
+PATIENCE_SECONDS = 20.0
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Router:
+    """The parts of a router that take part in the exchange."""
+
+    def __init__(self, name: str, seeds: tuple[str, ...], address: str = ""):
+        self.address = address or free_address()
+        self.book = LoadBook()
+        self.crashes = CrashLedger()
+        self.knowledge = Knowledge(2.0)
+        self.store_lost = False
+        self.peers = Peers(
+            address=self.address,
+            seeds=seeds,
+            instance_id=InstanceId(name),
+            incarnation=IncarnationId(f"{name}.{id(self)}"),
+            knowledge=self.knowledge,
+            book=self.book,
+            crashes=self.crashes,
+            store_lost=lambda: self.store_lost,
+        )
+
+    async def start(self) -> None:
+        await self.peers.start()
+        self._task = asyncio.create_task(self.peers.run())
+
+    async def stop(self) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self.peers.stop()
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    @contextlib.asynccontextmanager
+    async def routers(self, count: int):
+        routers: list[Router] = []
+        for number in range(count):
+            seeds = (routers[0].address,) if routers else ()
+            routers.append(Router(f"r{number}", seeds))
+            await routers[-1].start()
+        try:
+            yield routers
+        finally:
+            for router in routers:
+                await router.stop()
+
+    async def until(self, condition) -> None:
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def test_all_meet_through_one_seed(self) -> None:
+        async with self.routers(5) as routers:
+            for router in routers:
+                await self.until(lambda r=router: len(r.peers.alive()) == 4)
+
+    async def test_work_in_hand_and_parts_reach_every_router(self) -> None:
+        async with self.routers(5) as routers:
+            for router in routers:
+                await self.until(lambda r=router: len(r.peers.alive()) == 4)
+            now = asyncio.get_running_loop().time
+            asked = call(
+                route(RouteKind.STREAM),
+                prompt=(PromptPart(PartId("p"), 500), PromptPart(PartId("q"), 100)),
+                prompt_tokens=600,
+            )
+            routers[0].book.begin(asked, server("s"), now())
+            for router in routers[1:]:
+                book = router.book
+                await self.until(lambda b=book: b.cached_tokens(asked, "s") == 600)
+                await self.until(lambda b=book: b.load_of("s", now()).running == 1)
+
+    async def test_router_that_starts_again_is_told_what_it_missed(self) -> None:
+        async with self.routers(2) as routers:
+            await self.until(lambda: len(routers[0].peers.alive()) == 1)
+            asked = call(
+                route(RouteKind.STREAM),
+                prompt=(PromptPart(PartId("p"), 500),),
+                prompt_tokens=500,
+            )
+            routers[0].book.begin(asked, server("s"), 0.0)
+            await self.until(lambda: routers[1].book.cached_tokens(asked, "s") == 500)
+            await routers[1].stop()
+            again = Router("r1", (routers[0].address,), routers[1].address)
+            await again.start()
+            routers[1] = again
+            await self.until(lambda: again.book.cached_tokens(asked, "s") == 500)
+
+    async def test_crashes_are_told(self) -> None:
+        async with self.routers(3) as routers:
+            for router in routers:
+                await self.until(lambda r=router: len(r.peers.alive()) == 2)
+            for name in ("a", "b"):
+                routers[0].crashes.broke(name, "bad", 0.0)
+                routers[0].crashes.unreachable(name, 0.0)
+            now = asyncio.get_running_loop().time
+            for router in routers[1:]:
+                ledger = router.crashes
+                await self.until(lambda c=ledger: c.blames("bad", now()))
+
+    async def test_router_without_the_store_learns_rows_from_its_peers(self) -> None:
+        async with self.routers(2) as routers:
+            row = configuration_row(7, 5)
+            routers[0].knowledge.apply("op", TableChange([row], {}, 5), 0.0)
+            await self.until(lambda: len(routers[1].peers.alive()) == 1)
+            self.assertIsNone(routers[1].knowledge.configuration)
+            routers[1].store_lost = True
+            await self.until(lambda: routers[1].knowledge.configuration is not None)
+            self.assertEqual(routers[1].knowledge.configuration.number, 7)
+            newer = configuration_row(9, 8)
+            routers[0].knowledge.apply("op", TableChange([newer], {}, 8), 0.0)
+            await self.until(lambda: routers[1].knowledge.configuration.number == 9)
+
+
+if __name__ == "__main__":
+    unittest.main()
