Have the paid customer of the soak run out of tokens; check that configurations spread

Cause: the soak spent less than the prepaid total, so that a router which never reserves went unseen; nothing asked how soon a configuration reaches calm routers. Ruled out: a smaller fixed total, which long runs would spend at once. Conclusion: totals grow with the run's length and its routers.

--- a/bluebellshore/soak/checks.py
+++ b/bluebellshore/soak/checks.py
@@ -20,6 +20,8 @@
 #: bounds; the settings of the run say the same with less slack.
 CONTACT_SECONDS = 4.0
 DRAIN_SECONDS = 4.0
+#: Time in which a configuration reaches undisturbed routers, with time to spare.
+SPREAD_SECONDS = 6.0
 #: Time after which nothing may still run for a caller that has its answer or left:
 #: the longest deadline of callers and time to spare.
 WORK_ENDS_SECONDS = 8.0
@@ -45,6 +47,7 @@
     :param prepaid: the highest total that was ever in force.
     :param ended: ends of processes that nobody asked for.
     :param ended_at: monotonic seconds of the end of the run.
+    :param configured_at: when the store took each configuration, by number.
     """
 
     sent: list[Sent]
@@ -54,6 +57,7 @@
     happened: list[Happened]
     ended: list[str]
     ended_at: float = 0.0
+    configured_at: dict[int, float] = msgspec.field(default_factory=dict)
 
 
 def check(record: Record) -> list[Broken]:
@@ -71,6 +75,7 @@
     broken += _check_drain(record)
     broken += _check_configurations(record.sent)
     broken += _check_work_ends(record)
+    broken += _check_spread(record)
     return broken
 
 
@@ -191,6 +196,24 @@
             yield Broken("work ends", seen.attempt_id, detail, sent.router)
 
 
+def _check_spread(record: Record) -> Iterable[Broken]:
+    """Undisturbed routers follow a configuration in time."""
+    for sent in record.sent:
+        if sent.kind is not Kind.ADDED or sent.status != 404:
+            continue
+        at = record.configured_at.get(sent.number, sent.at)
+        disturbed = [
+            other
+            for other in record.happened
+            if other.began_at < sent.ended_at
+            and other.ended_at + CONTACT_SECONDS > at
+            and other.fault.action not in (Action.CONFIGURATION, Action.TOP_UP)
+        ]
+        if sent.at - at > SPREAD_SECONDS and not disturbed:
+            detail = f"404 for configuration {sent.number}, {sent.at - at:.1f} s old"
+            yield Broken("configurations spread", sent.attempt_id, detail, sent.router)
+
+
 def _check_configurations(all_sent: Sequence[Sent]) -> Iterable[Broken]:
     """Once a life of a router served an added route, it never denies it again."""
     served: dict[tuple[str, int], list[Sent]] = defaultdict(list)
--- a/bluebellshore/soak/run.py
+++ b/bluebellshore/soak/run.py
@@ -63,7 +63,7 @@
 
 async def run_schedule(schedule: Schedule) -> Outcome:
     """Run a schedule and check the promises."""
-    async with SoakSystem.open(schedule.seed, schedule.routers) as system:
+    async with SoakSystem.open(schedule) as system:
         faults = FaultRun(system, schedule)
         callers = Callers(system, schedule.seed, CALLERS_PER_ROUTER * schedule.routers)
         async with callers.running():
@@ -81,6 +81,7 @@
             happened=faults.happened,
             ended=[text for router in system.routers for text in router.ended],
             ended_at=time.monotonic(),
+            configured_at=system.configured_at,
         )
         broken = check(record) + silent + _tracebacks(system)
         names = {item.router for item in broken}
--- a/bluebellshore/soak/system.py
+++ b/bluebellshore/soak/system.py
@@ -10,12 +10,13 @@
 import signal
 import sys
 import tempfile
+import time
 from collections.abc import AsyncIterator
 
 from bluebellshore.load.process import PACKAGE_PARENT, ManagedProcess
 from bluebellshore.platform.settings import SETTINGS_VARIABLE
 from bluebellshore.settings import PlatformSettings, ProxySettings
-from bluebellshore.soak.schedule import RUNNERS
+from bluebellshore.soak.schedule import RUNNERS, Schedule
 from bluebellshore.standin import FaultProxy, PlatformStandin
 from bluebellshore.standin.operator import (
     StandinCustomer,
@@ -39,7 +40,8 @@
 #: Customers and their keys; the first one has no limit.
 CUSTOMERS = {"acme": "key-of-acme", PAID: "key-of-paid"}
 SERVICES = ("plain", "streams")
-FIRST_PREPAID = 8_000
+#: Prepaid tokens for each second and router: what callers want of them runs out.
+PREPAID_A_SECOND = 150
 TOP_UP = 2_000
 HEARTBEAT_SECONDS = 0.3
 #: From SIGTERM to SIGKILL, as short as the router's own leaving allows with work.
@@ -217,17 +219,19 @@
 class SoakSystem:
     """All parts of a run."""
 
-    def __init__(self, seed: int, folder: pathlib.Path, routers: int):
-        self.rng = random.Random(seed)
+    def __init__(self, schedule: Schedule, folder: pathlib.Path):
+        seed = schedule.seed
         self.store = PlatformStandin(PlatformSettings(seed=seed))
         self.entries = RunnerEntries(self.store.state, HEARTBEAT_SECONDS)
-        self.routers = [Router(number, folder) for number in range(routers)]
+        self.routers = [Router(number, folder) for number in range(schedule.routers)]
         self.servers = [
             Server(number, self.entries, random.Random(f"{seed}.{number}"))
             for number in range(RUNNERS)
         ]
         self.number = 0
-        self.prepaid = FIRST_PREPAID
+        #: When the store took each configuration, by number.
+        self.configured_at: dict[int, float] = {}
+        self.prepaid = int(PREPAID_A_SECOND * schedule.seconds * schedule.routers)
 
     def configure(self) -> None:
         """Have the operator write the next configuration: it adds a route."""
@@ -247,6 +251,7 @@
             for name, key in CUSTOMERS.items()
         ]
         self.entries.configure(configuration_of(self.number, routes, customers))
+        self.configured_at[self.number] = time.monotonic()
 
     def top_up(self) -> None:
         """Have the operator raise the prepaid total."""
@@ -255,10 +260,10 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def open(cls, seed: int, routers: int) -> AsyncIterator["SoakSystem"]:
+    async def open(cls, schedule: Schedule) -> AsyncIterator["SoakSystem"]:
         """Run all parts until the block ends."""
         with tempfile.TemporaryDirectory(prefix="bluebellshore-soak-") as folder:
-            system = cls(seed, pathlib.Path(folder), routers)
+            system = cls(schedule, pathlib.Path(folder))
             lapses = asyncio.create_task(system.entries.run())
             try:
                 await system._start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -197,6 +197,21 @@
         denied.life = denied.life_at_end = 2
         self.assertEqual(set(), self.promises([shown, denied], arrivals))
 
+    def test_configurations_spread(self):
+        denied = sent(
+            Kind.ADDED, number=2, at=11.0, ended_at=11.1, status=404, answer=b""
+        )
+        self.assertEqual(
+            {"configurations spread"},
+            self.promises([denied], [], configured_at={2: 1.0}),
+        )
+        self.assertEqual(set(), self.promises([denied], [], configured_at={2: 10.0}))
+        cut = Happened(Fault(0.0, Action.STORE_LINK_CUT, 1.0), 3.0, 3.0)
+        self.assertEqual(
+            set(),
+            self.promises([denied], [], configured_at={2: 1.0}, happened=[cut]),
+        )
+
     def test_work_ends_with_its_caller(self):
         one = sent(status=0, left=True, signed=False, whole=False)
         runs = [arrival(one, outcome="running")]
