Let no SIGHUP end an entry router that starts or ends; draw themes of faults

Cause: until the loop's handler stood, and again once the loop had closed, SIGHUP had its default action: the process ended by the signal. Ruled out: masking the signal, which holds for one thread only.

--- a/bluebellshore/entry/__main__.py
+++ b/bluebellshore/entry/__main__.py
@@ -4,9 +4,9 @@
 that was killed serves again sooner.
 """
 
+import signal
 import sys
 
-from bluebellshore.entry.router import serve
 from bluebellshore.errors import SettingsError
 
 __all__ = ["main"]
@@ -16,6 +16,11 @@
 
 def main() -> int:
     """Serve until SIGTERM. :return: exit code."""
+    # Until its handler stands SIGHUP would end the process; the settings are read
+    # anew then anyway. The other imports take most of a start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from bluebellshore.entry.router import serve
+
     try:
         serve()
     except SettingsError as error:
--- a/bluebellshore/runtime.py
+++ b/bluebellshore/runtime.py
@@ -66,6 +66,12 @@
     await stopped.wait()
 
 
+def _ignore_reload() -> None:
+    """Ignore SIGHUP from now on; the closing loop would let it end the process."""
+    asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 async def _serve(role: Role, log: DecisionLog | None) -> None:
     await wait_for_signal(getattr(role, "reload", None))
     name = type(role).__name__
@@ -76,6 +82,7 @@
         return
     log.stopping("signal", role=name)
     await role.stop()
+    _ignore_reload()
     log.stopped(role=name)
 
 
--- a/bluebellshore/soak/faults.py
+++ b/bluebellshore/soak/faults.py
@@ -24,6 +24,8 @@
 LATE_CALLS = 5
 #: Time from a drain's acceptance, or more, to the end of a backend server.
 DRAIN_SECONDS = 2.0
+#: Time after which it ends though it still has work.
+MOST_DRAIN_SECONDS = 6.0
 #: Pause between the end of a backend server and the next one's begin.
 REBIRTH_SECONDS = 1.0
 STRONG = 0.5
@@ -152,8 +154,10 @@
         await runner.drain()
         server.left_at[runner.runner_id] = time.monotonic()
         await asyncio.sleep(DRAIN_SECONDS + HEARTBEAT_SECONDS)
-        while runner.at_work:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MOST_DRAIN_SECONDS):
+                while runner.at_work:
+                    await asyncio.sleep(HEARTBEAT_SECONDS)
         await runner.stop()
         await asyncio.sleep(REBIRTH_SECONDS)
         await server.start()
--- a/bluebellshore/soak/schedule.py
+++ b/bluebellshore/soak/schedule.py
@@ -9,8 +9,10 @@
 
 #: Calm time at the begin, in which everything starts to serve.
 LEAD_SECONDS = 1.0
-#: Mean time between the starts of two faults; several overlap.
-MEAN_PAUSE_SECONDS = 1.2
+#: Mean times between the starts of two faults, one for each run; several overlap.
+MEAN_PAUSES_SECONDS = (0.4, 1.2, 2.5)
+#: Kinds of faults that a run has, when it has only a few of them.
+FEW = (2, 6)
 MIN_SECONDS, MAX_SECONDS = 0.3, 5.0
 #: Share of faults that come as a series on one target, and the pause within it.
 SERIES_SHARE = 0.25
@@ -125,13 +127,18 @@
 def draw_schedule(seed: int, seconds: float, routers: int) -> Schedule:
     """Return the schedule of a seed.
 
+    Some runs have all kinds of faults, some a few and some planned work alone: what
+    only shows where the rest is calm.
+
     :param routers: entry processes.
     """
     rng = random.Random(seed)
+    mean_pause = rng.choice(MEAN_PAUSES_SECONDS)
+    actions = rng.choice([list(Action), _few(rng), sorted(_PLANNED, key=str)])
     faults: list[Fault] = []
     at = LEAD_SECONDS
     while at < seconds:
-        action = rng.choice(list(Action))
+        action = rng.choice(actions)
         length = SERIES_LENGTH if rng.random() < SERIES_SHARE else 1
         targets = routers if action.on_router else RUNNERS
         target = rng.randrange(targets)
@@ -145,6 +152,10 @@
                     strength=round(rng.random(), 3),
                 )
             )
-        at += rng.expovariate(1 / MEAN_PAUSE_SECONDS)
+        at += rng.expovariate(1 / mean_pause)
     faults.sort(key=lambda fault: fault.at)
     return Schedule(seed, seconds, routers, tuple(faults))
+
+
+def _few(rng: random.Random) -> list[Action]:
+    return rng.sample(list(Action), rng.randint(*FEW))
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import signal
+from unittest import mock
 
+import bluebellshore.entry.__main__ as entry_main
 from bluebellshore.load.fleet import wait_until
 from bluebellshore.settings import ProxySettings
 from bluebellshore.standin import FaultProxy, ProxyFaultChange
@@ -73,6 +75,26 @@
         self.assertEqual((200, plain_answer_of(attempt, b"x")), (status, body))
         self.assertEqual(0, await stop)
 
+    async def test_reload_while_it_starts_changes_nothing(self):
+        kept = signal.getsignal(signal.SIGHUP)
+        self.addCleanup(signal.signal, signal.SIGHUP, kept)
+        seen = []
+        with mock.patch(
+            "bluebellshore.entry.router.serve",
+            lambda: seen.append(signal.getsignal(signal.SIGHUP)),
+        ):
+            self.assertEqual(0, entry_main.main())
+        self.assertEqual([signal.SIG_IGN], seen)
+
+    async def test_reload_while_it_ends_changes_nothing(self):
+        instance = await self.process()
+        process = instance.process
+        stop = asyncio.create_task(process.terminate())
+        while process.running:
+            process._send(signal.SIGHUP)
+            await asyncio.sleep(0.002)
+        self.assertEqual(0, await stop)
+
     async def test_reload_reads_the_settings_file(self):
         instance = await self.process()
 
