--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -173,12 +173,14 @@
         now: float,
         *,
         resolving: bool,
+        most_budgets: int = MAX_TRANSACTION_WRITES,
     ) -> Transaction | None:
         """Compose a transaction.
 
         :param current: the incarnation's row, which is changed.
         :param budgets: budgets whose rows were read.
         :param resolving: write in any case, to rule out unanswered transactions.
+        :param most_budgets: budgets whose rows may be written.
         :return: None when nothing is due.
         """
         self._sequence += 1
@@ -190,13 +192,17 @@
         room = MAX_TRANSACTION_WRITES - OWN_WRITES
         if self._keeps_ledger:
             room -= len(transaction.bills)
-        for budget in _by_urgency(budgets, transaction, request):
+        room = min(room, most_budgets)
+        composed: set[BudgetId] = set()
+        for budget in _by_urgency(self._in_turn(budgets), transaction, request):
             if len(transaction.writes) == room:
                 transaction.partial = True
                 break
+            composed.add(budget)
             self._compose_budget(
                 transaction, budget, rows.get(budget_key(budget)), request, now
             )
+        transaction.bills = [b for b in transaction.bills if b.budget in composed]
         limits = self._book.desired_limits(
             request.needs_by_sidecar, transaction.grants, now, transaction.billed()
         )
@@ -214,6 +220,11 @@
         self._compose_own(transaction, limits, request)
         return transaction
 
+    def _in_turn(self, budgets: list[BudgetId]) -> list[BudgetId]:
+        """Return the budgets beginning with another one in each transaction."""
+        turn = self._sequence % max(1, len(budgets))
+        return [*budgets[turn:], *budgets[:turn]]
+
     def _compose_budget(
         self,
         transaction: Transaction,
@@ -230,8 +241,8 @@
         billed = sum(b.tokens for b in transaction.bills if b.budget == budget)
         budget_row.settled += billed
         own.outstanding -= billed
-        view = self._view(budget, budget_row, prepaid_total, now)
         demand = request.demands_by_budget.get(budget)
+        view = self._view(budget, budget_row, prepaid_total, demand, now)
         wants = self._wanted(budget, budget_row, now)
         surplus = self._surplus(view, wants, demand, request)
         if surplus:
@@ -255,14 +266,20 @@
             transaction.writes.append(Write(key, version, encode_row(budget_row)))
 
     def _view(
-        self, budget: BudgetId, row: BudgetRow, prepaid_total: Tokens, now: float
+        self,
+        budget: BudgetId,
+        row: BudgetRow,
+        prepaid_total: Tokens,
+        demand: Demand | None,
+        now: float,
     ) -> AllotmentView:
         account = self._book.account(budget)
+        waiting = Tokens(0) if demand is None else demand.total
         return AllotmentView(
             unallotted=row.unallotted(prepaid_total),
             holders=len(row.allotments),
             free=Tokens(account.free),
-            burn=account.burn.rate(now),
+            burn=account.burn.rate(now, waiting),
             idle_seconds=now - account.reserved_at,
             rest=Tokens(max(0, prepaid_total - row.settled - row.held())),
         )
@@ -371,13 +388,12 @@
 def _by_urgency(
     budgets: list[BudgetId], transaction: Transaction, request: Request
 ) -> list[BudgetId]:
-    """Return the budgets of bills first, then those that requests wait for."""
+    """Return the budgets that requests wait for first, then those of bills."""
     billed = {bill.budget for bill in transaction.bills}
     return sorted(
         budgets,
         key=lambda budget: (
-            budget not in billed,
             budget not in request.demands_by_budget,
-            budget,
+            budget not in billed,
         ),
     )
--- a/bluebellshore/budget/journal.py
+++ b/bluebellshore/budget/journal.py
@@ -27,7 +27,13 @@
     TransactionConflictError,
 )
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
-from bluebellshore.store.interface import ABSENT, Row, TableService, Write
+from bluebellshore.store.interface import (
+    ABSENT,
+    MAX_TRANSACTION_WRITES,
+    Row,
+    TableService,
+    Write,
+)
 
 __all__ = ["CommitResult", "Journal"]
 
@@ -62,6 +68,8 @@
         self.on_applied: Callable[[Transaction], None] = lambda transaction: None
         self.fenced = False
         self.closed = False
+        #: Whether the last commit left out budgets that its request named.
+        self.partial = False
         self.dropped = 0
         self._table = table
         self._incarnation = incarnation
@@ -99,11 +107,15 @@
         except TransactionConflictError:
             pass  # an earlier try of ours: incarnation ids are never reused
 
-    async def commit(self, request: Request, now: float) -> CommitResult:
+    async def commit(
+        self, request: Request, now: float, most_budgets: int = MAX_TRANSACTION_WRITES
+    ) -> CommitResult:
         """Try once to commit what is due.
 
+        :param most_budgets: budgets that the transaction may touch.
         :raises PlatformError: the answer is open; a later commit resolves it.
         """
+        self.partial = False
         budgets = self._composer.budgets(request)
         own_key = incarnation_key(self._incarnation)
         rows = await self._table.read([own_key, *map(budget_key, budgets)])
@@ -112,10 +124,17 @@
         if current is None:
             return CommitResult.NOTHING
         transaction = self._composer.compose(
-            current, rows, budgets, request, now, resolving=bool(self._unresolved)
+            current,
+            rows,
+            budgets,
+            request,
+            now,
+            resolving=bool(self._unresolved),
+            most_budgets=most_budgets,
         )
         if transaction is None:
             return CommitResult.NOTHING
+        self.partial = transaction.partial
         return await self._send(transaction)
 
     def _check_lag(self, row: Row | None) -> None:
