Signal child processes without collecting them

Popen.send_signal polls before it sends; when the process has just ended, that poll collects it, and asyncio's watcher then reports 255 in place of the exit code. The router had ended with 0.

Ruled out: an exit of the router by the signal itself (that would be -1).

Change: ManagedProcess opens a pidfd at the start and signals through it, which also can't reach another process that got the same id.

--- a/bluebellshore/load/process.py
+++ b/bluebellshore/load/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import ctypes
 import dataclasses
 import json
@@ -90,6 +91,7 @@
         self.operator_address = ""
         self.output: collections.deque[str] = collections.deque(maxlen=OUTPUT_LINES)
         self._process: asyncio.subprocess.Process | None = None
+        self._descriptor: int | None = None
         self._reader: asyncio.Task | None = None
         self._ready = asyncio.Event()
 
@@ -129,6 +131,8 @@
             preexec_fn=_end_with_parent,
         )
         self._reader = asyncio.create_task(self._read_output(self._process.stdout))
+        with contextlib.suppress(ProcessLookupError):  # it has ended already
+            self._descriptor = os.pidfd_open(self._process.pid)
         await self._wait_ready()
 
     async def terminate(self) -> int:
@@ -161,6 +165,9 @@
         code = await self._started().wait()
         if self._reader is not None:
             await self._reader
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
         return code
 
     def output_text(self) -> str:
@@ -173,8 +180,12 @@
         return self._process
 
     def _send(self, number: signal.Signals) -> None:
-        if self.running:
-            self._started().send_signal(number)
+        if self._descriptor is None:
+            return
+        # Popen.send_signal would collect a process that has just ended, and asyncio
+        # would not learn its exit code; a process id might be another's by now.
+        with contextlib.suppress(ProcessLookupError):
+            signal.pidfd_send_signal(self._descriptor, number)
 
     async def _wait_ready(self) -> None:
         waiter = asyncio.create_task(self._ready.wait())
--- a/tests/test_load_process.py
+++ b/tests/test_load_process.py
@@ -1,9 +1,11 @@
 """Tests of the supervisor of real processes."""
 
 import asyncio
+import subprocess
 import sys
 import unittest
 from dataclasses import dataclass, field
+from unittest import mock
 
 import psutil
 
@@ -67,6 +69,17 @@
         self.assertEqual(await process.terminate(), 3)
         self.assertIn("--routes=y", process.output_text())
 
+    async def test_signals_leave_the_exit_code_to_whoever_waits(self):
+        process = process_of(SERVES)
+        await process.start()
+        # Popen.send_signal polls first: a process that has just ended is collected
+        # by it, and asyncio then reports 255 in place of the exit code.
+        with mock.patch.object(subprocess.Popen, "poll", side_effect=AssertionError):
+            process.freeze()
+            process.wake()
+        self.assertEqual(await process.terminate(), 3)
+        process.wake()
+
     async def test_kills(self):
         process = process_of(SERVES)
         await process.start()
