Return idle tokens as soon as a stopping router's port is closed

Change: once the port is closed the policy's target is nothing, so all that requests in flight do not need goes back; late requests on open connections draw what they need.

Tests: tests.test_entry_budgets_leaving; with the decision taken out 3500 in place of 500 tokens stay with the router that leaves.

--- a/bluebellshore/budget/policy.py
+++ b/bluebellshore/budget/policy.py
@@ -168,6 +168,8 @@
 
     :param standby_share: share of the rest that all holders together hold unused.
     :param routers: number of routers known; all may come to hold tokens.
+    :param leaving: whether this router takes no new requests: the last that are in
+        flight end seconds later, and others lack what lies here meanwhile.
     """
 
     def __init__(
@@ -176,12 +178,16 @@
         share: float = HORIZON_SHARE,
         standby_share: float = STANDBY_SHARE,
         routers: Callable[[], int] = lambda: 1,
+        leaving: Callable[[], bool] = lambda: False,
     ):
         super().__init__(horizon_seconds, share, idle_seconds=math.inf)
         self._routers = routers
+        self._leaving = leaving
         self._standby_share = standby_share
 
     def _target(self, view: AllotmentView) -> int:
+        if self._leaving():
+            return 0
         holders = max(view.holders, self._routers())
         standby = int(self._standby_share * view.rest / holders)
         return max(standby, super()._target(view))
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -127,6 +127,7 @@
         self._prepaid = prepaid
         self._customers = customers
         self._clock = clock
+        self._leaving = False
         self._book = DirectBook(
             burn_window_seconds=BURN_WINDOW_SECONDS, store_time=store_time
         )
@@ -137,6 +138,7 @@
             or StandbyPolicy(
                 horizon_seconds,
                 routers=lambda: 1 + (len(peers.reachable()) if peers else 0),
+                leaving=lambda: self._leaving,
             ),
             prepaid=lambda budget: prepaid(CustomerId(budget)),
             clock=clock,
@@ -267,6 +269,11 @@
         if attended:
             self._accountant.attend(attended)
 
+    def leave(self) -> None:
+        """Return what requests in flight do not need; they go on."""
+        self._leaving = True
+        self._accountant.attend(list(self._book.accounts_by_budget))
+
     async def close(self) -> None:
         """Settle, return all that is free and close the incarnation's row."""
         with contextlib.suppress(TimeoutError):
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -205,6 +205,7 @@
         self._ingress.leaving = True
         await asyncio.sleep(LEAVE_SECONDS)
         await self._ingress.close_port()
+        self._budgets.leave()
         while self._ingress.active and loop.time() < end:
             await asyncio.sleep(POLL_SECONDS)
         self._log.notice(
