Stop in an orderly way when SIGTERM comes during the start

Cause: SIGTERM took its default until wait_for_signal had set its handlers, which is after the router's ports were open; aiomisc's own handlers stood for a moment between and stopped the loop. Second place: the closing loop gives SIGTERM its default back, so a second one at the very end gave exit code -15 (SIGHUP was mended there before).

SIGTERM and SIGINT are blocked from the program's first lines until the handlers stand; one that came meanwhile is delivered then and stops the router as usual. Ruled out: a Python handler that notes the signal (setting the loop's handler leaves a gap between the check and the change).

Before: exit code -15 at each of three points of a start; after: 0 with 'started' and 'stopped' in the log. Not covered: the interpreter's own start, before the program's first line.

A test that runs the entry program's main in the test's process now restores the signal mask too.

--- a/bluebellshore/entry/__main__.py
+++ b/bluebellshore/entry/__main__.py
@@ -17,8 +17,10 @@
 def main() -> int:
     """Serve until SIGTERM. :return: exit code."""
     # Until its handler stands SIGHUP would end the process; the settings are read
-    # anew then anyway. The other imports take most of a start.
+    # anew then anyway. The other imports take most of a start. SIGTERM waits for its
+    # handler, as callers may be served before that.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT})
     from bluebellshore.entry.router import serve
 
     try:
--- a/bluebellshore/runtime.py
+++ b/bluebellshore/runtime.py
@@ -14,6 +14,9 @@
 
 __all__ = ["Role", "run_role", "wait_for_signal"]
 
+#: Signals that ask a process to stop.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class Role(Protocol):
     """A serving process: a router, a sidecar or a stand-in.
@@ -55,21 +58,25 @@
 async def wait_for_signal(reload: Callable[[], None] | None = None) -> None:
     """Wait until SIGTERM or SIGINT asks this process to stop.
 
+    A signal that was blocked until now and came meanwhile counts.
+
     :param reload: called at each SIGHUP.
     """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopped.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
     await stopped.wait()
 
 
-def _ignore_reload() -> None:
-    """Ignore SIGHUP from now on; the closing loop would let it end the process."""
-    asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+def _ignore_signals() -> None:
+    """Ignore signals from now on; the closing loop would let them end the process."""
+    for number in (signal.SIGHUP, *STOP_SIGNALS):
+        asyncio.get_running_loop().remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 async def _serve(role: Role, log: DecisionLog | None) -> None:
@@ -78,11 +85,12 @@
     if log is None:
         eliot.log_message("stopping", role=name)
         await role.stop()
+        _ignore_signals()
         eliot.log_message("stopped", role=name)
         return
     log.stopping("signal", role=name)
     await role.stop()
-    _ignore_reload()
+    _ignore_signals()
     log.stopped(role=name)
 
 
@@ -99,5 +107,7 @@
         eliot.to_file(sys.stdout)
     uvloop.install()
     service = RoleService(role=role, log=log)
-    with aiomisc.entrypoint(service, log_config=False) as loop:
+    # A stop that comes while the role starts waits until it can be graceful.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    with aiomisc.entrypoint(service, log_config=False, catch_signals=()) as loop:
         loop.run_until_complete(_serve(role, log))
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -78,6 +78,8 @@
     async def test_reload_while_it_starts_changes_nothing(self):
         kept = signal.getsignal(signal.SIGHUP)
         self.addCleanup(signal.signal, signal.SIGHUP, kept)
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, mask)
         seen = []
         with mock.patch(
             "bluebellshore.entry.router.serve",
