Close connections whose request head comes too slowly

Cause: the configuration's headerTimeoutMs was decoded and used nowhere; a head that never ended held its connection for aiohttp's idle time (120 s here), or for ever with a whole request now and then.

The time runs from the first byte after the last request to the end of the head; then 408 (nothing ran), a 'refused' line of step ingress.head, and the connection closes. Idle connections, bodies and pipelined whole requests have no such time. A head whose time is over gets 0.1 s more, because a process that was paused finds its timers due before it reads what came meanwhile.

Ruled out: aiohttp's keepalive_timeout (closes idle connections as well), a wait_for around the handler (it begins only after the head).

--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -7,12 +7,13 @@
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 
+from bluebellshore.entry.connections import CallerServer
 from bluebellshore.entry.intake import admit
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.relay import Sink
 from bluebellshore.entry.trace import RequestEnds, Trace
 from bluebellshore.errors import OverloadError, RefusedError, RequestError
-from bluebellshore.fleet import Call
+from bluebellshore.fleet import Call, IngressLimits
 from bluebellshore.platform.requests import (
     CONNECTION_HEADERS,
     RequestHead,
@@ -56,7 +57,7 @@
         self._body_bytes = 0
         share = int(memory_bytes * BODIES_MEMORY_SHARE)
         self._max_body_bytes = max(MIN_BODIES_BYTES, share)
-        self._server: web.Server | None = None
+        self._server: CallerServer | None = None
         self._listener: asyncio.Server | None = None
         #: Whether connections are to be closed after their present request.
         self.leaving = False
@@ -64,8 +65,10 @@
 
     async def start(self, listen: str) -> str:
         """Open the port. :return: ``host:port``."""
-        self._server = web.Server(
+        self._server = CallerServer(
             self._handle,
+            head_seconds=self._head_seconds,
+            on_late=self._note_late_head,
             handler_cancellation=True,
             keepalive_timeout=IDLE_SECONDS,
             max_line_size=MAX_LINE_BYTES,
@@ -94,12 +97,28 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.active += 1
+        connection = request.protocol
+        connection.request_began(request.content)
         sink = _HttpSink(request, close=lambda: self.leaving)
         try:
             return await self._answer(request, sink)
         finally:
+            connection.request_ended()
             self.active -= 1
 
+    def _head_seconds(self) -> float:
+        configuration = self._knowledge.configuration
+        limits = configuration.limits if configuration else IngressLimits()
+        return limits.header_seconds
+
+    def _note_late_head(self, seconds: float) -> None:
+        now = asyncio.get_running_loop().time()
+        status = HTTPStatus.REQUEST_TIMEOUT.value
+        error = RefusedError(
+            f"head not whole after {seconds} s", step="ingress.head", status=status
+        )
+        self._ends.failed(Trace(now - seconds), error, now, status=status, began=False)
+
     async def _answer(
         self, request: web.BaseRequest, sink: "_HttpSink"
     ) -> web.StreamResponse:
--- /dev/null
+++ b/tests/test_entry_connections.py
@@ -0,0 +1,140 @@
+"""Tests of callers' connections: heads that come slowly, idle and paused ones."""
+
+import asyncio
+import time
+import unittest
+
+from bluebellshore.decisions import DecisionLog
+from bluebellshore.entry.ingress import Ingress
+from bluebellshore.entry.knowledge import Knowledge
+from bluebellshore.entry.trace import RequestEnds
+from bluebellshore.fleet import IngressLimits
+from bluebellshore.platform.names import ATTEMPT_HEADER
+from tests.entry_fixtures import configuration, route
+
+HEAD = f"GET /a/b HTTP/1.1\r\nHost: api.example\r\n{ATTEMPT_HEADER}: try-1\r\n\r\n"
+BEGIN, END = HEAD.encode()[:30], HEAD.encode()[30:]
+SHORT_SECONDS, LONG_SECONDS = 0.05, 3600.0
+
+
+class SlowHeadTest(unittest.IsolatedAsyncioTestCase):
+    async def connect(self, header_seconds):
+        """Open an ingress and a connection to it."""
+        self.lines, self.served, self.gate = [], [], asyncio.Event()
+        self.gate.set()
+        knowledge = Knowledge(2.0)
+        knowledge.configuration = configuration(
+            route(anonymous=True), limits=IngressLimits(header_seconds=header_seconds)
+        )
+        self.ingress = Ingress(
+            knowledge,
+            self.serve,
+            memory_bytes=0,
+            ends=RequestEnds(DecisionLog(self.lines.append)),
+        )
+        address = await self.ingress.start("127.0.0.1:0")
+        self.addAsyncCleanup(self.ingress.stop, 0.1)
+        self.addAsyncCleanup(self.ingress.close_port)
+        self.reader, self.writer = await asyncio.open_connection(*address.split(":"))
+        self.addCleanup(self.writer.close)
+
+    async def serve(self, call, sink, trace):
+        self.served.append(call.target)
+        await sink.start(200, [], 2)
+        await self.gate.wait()
+        await sink.write(b"ok")
+        await sink.finish()
+
+    async def answer(self):
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 200"), head)
+        self.assertEqual(b"ok", await self.reader.readexactly(2))
+
+    async def test_head_that_does_not_end_is_answered_408_and_closed(self):
+        for already_served in (False, True):
+            with self.subTest(already_served=already_served):
+                await self.connect(SHORT_SECONDS)
+                if already_served:
+                    self.writer.write(BEGIN + END)
+                    await self.answer()
+                self.writer.write(BEGIN)
+                answer = await self.reader.read()
+                self.assertTrue(answer.startswith(b"HTTP/1.1 408 "), answer)
+                self.assertEqual(["/a/b"] * already_served, self.served)
+                refused = [line for line in self.lines if line.get("step")]
+                self.assertEqual(
+                    [("ingress.head", 408, "not-run")],
+                    [(r["step"], r["status"], r["run"]) for r in refused],
+                )
+
+    async def test_head_that_began_before_the_last_answer_ended_has_its_time_too(self):
+        await self.connect(SHORT_SECONDS)
+        self.gate.clear()
+        self.writer.write(BEGIN + END)
+        while not self.served:
+            await asyncio.sleep(0)
+        self.writer.write(BEGIN)
+        await asyncio.sleep(10 * SHORT_SECONDS)
+        self.gate.set()
+        await self.answer()
+        answer = await self.reader.read()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 408 "), answer)
+
+    async def test_next_request_may_come_before_the_last_answer_ended(self):
+        await self.connect(SHORT_SECONDS)
+        self.gate.clear()
+        self.writer.write(2 * (BEGIN + END))
+        while not self.served:
+            await asyncio.sleep(0)
+        await asyncio.sleep(10 * SHORT_SECONDS)
+        self.gate.set()
+        await self.answer()
+        await self.answer()
+
+    async def test_bytes_now_and_then_do_not_extend_the_time(self):
+        await self.connect(SHORT_SECONDS)
+        self.writer.write(BEGIN)
+        while not self.lines:
+            self.writer.write(b"x")
+            await asyncio.sleep(SHORT_SECONDS / 5)
+        self.assertEqual(408, self.lines[0]["status"])
+
+    async def test_head_in_parts_is_served_in_its_time(self):
+        await self.connect(LONG_SECONDS)
+        for _ in range(2):
+            self.writer.write(BEGIN)
+            await asyncio.sleep(SHORT_SECONDS)
+            self.writer.write(END)
+            await self.answer()
+
+    async def test_idle_and_busy_connections_are_not_closed(self):
+        await self.connect(SHORT_SECONDS)
+        await asyncio.sleep(10 * SHORT_SECONDS)
+        self.writer.write(BEGIN + END)
+        await self.answer()
+        await asyncio.sleep(10 * SHORT_SECONDS)
+        self.gate.clear()
+        self.writer.write(BEGIN + END)
+        await asyncio.sleep(10 * SHORT_SECONDS)
+        self.gate.set()
+        await self.answer()
+
+    async def test_head_that_came_while_the_process_was_paused_is_served(self):
+        await self.connect(SHORT_SECONDS)
+        while not self.ingress._server.connections:
+            await asyncio.sleep(0)
+        (connection,) = self.ingress._server.connections
+        self.writer.write(BEGIN)
+        while connection._head_timer is None:
+            await asyncio.sleep(0)
+        self.pause()
+        await self.answer()
+
+    def pause(self):
+        """Stop the loop until the head is late; its end comes meanwhile."""
+        self.writer.write(END)
+        time.sleep(4 * SHORT_SECONDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
