Refuse heads above the bound of the configuration

Cause: maxHeaderBytes was decoded and used nowhere; only single lines were bounded (64 KiB each). A head above it is answered 431 with step ingress.head; the test got 503 (no backend server) before.

--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -160,6 +160,12 @@
                 "no configuration is known yet", step="ingress", retry_after=0.5
             )
         trace.configuration = configuration.number
+        if _head_bytes(request) > configuration.limits.header_bytes:
+            raise RefusedError(
+                f"head above {configuration.limits.header_bytes} bytes",
+                step="ingress.head",
+                status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            )
         head = RequestHead.decode(request.headers.items())
         call = admit(
             configuration,
@@ -218,6 +224,12 @@
         return response
 
 
+def _head_bytes(request: web.BaseRequest) -> int:
+    """Return the bytes of a request's target and header lines."""
+    lines = (len(name) + len(value) for name, value in request.raw_headers)
+    return len(request.raw_path) + sum(lines)
+
+
 class _HttpSink:
     """Writes one answer to a caller.
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -224,6 +224,12 @@
         refused = self.line("refused")
         self.assertEqual((refused["request"], refused["status"]), ("try-1", 400))
 
+    async def test_head_above_its_bound_is_refused(self):
+        async with self.get(**{"X-Long": "x" * 20_000}) as response:
+            self.assertEqual(response.status, 431)
+        refused = self.line("refused")
+        self.assertEqual((refused["step"], refused["status"]), ("ingress.head", 431))
+
     async def test_failed_attempt_is_sent_again_and_ends_once(self):
         self.add_servers("a", "b")
         self.backend.answers = [REFUSED, FakeAnswer([b"body"])]
