Disturb links between routers and more of the store in the soak

The soak had no faults between routers, no stop during a start, no pause across grants and few of the store's own. New: a proxy before each of the first 24 routers' exchange port (cut, refused, delayed, one way, silent); SIGTERM as soon as the port is open, again with SIGHUP later; settings files that change with signals in series, mixed with stops; a pause while the answers of the store's writes wait; a store out for some tables (429), with late answers, with few writes a second, and with a clock that starts anywhere and jumps on.

The store's clock is steady by its contract, so that it never steps back here; that it jumps on is what routers see that were all suspended at once.

So that a proxy can stand between, a router may take exchanges at another address than others are told: BLUEBELLSHORE_PEER_BIND.

A life of a router is counted from its start, not from its first line: an answer of a new life was put down to the one before.

--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -96,7 +96,8 @@
 class Peers(peer_pb2_grpc.PeersServicer):
     """This router's exchange with others.
 
-    :param address: where this router takes exchanges; empty for none.
+    :param address: where others reach this router; empty for none.
+    :param bind: where it takes exchanges, if not there.
     :param store_lost: whether rows are wanted from peers.
     """
 
@@ -112,9 +113,11 @@
         crashes: CrashLedger | None = None,
         store_lost: Callable[[], bool],
         log: DecisionLog | None = None,
+        bind: str = "",
     ):
         self._log = log or silent_log()
         self._address = address
+        self._bind = bind or address
         self._instance_id = instance_id
         self._incarnation = incarnation
         self._knowledge = knowledge
@@ -151,7 +154,7 @@
             return
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
         peer_pb2_grpc.add_PeersServicer_to_server(self, self._server)
-        self._server.add_insecure_port(self._address)
+        self._server.add_insecure_port(self._bind)
         await self._server.start()
 
     async def stop(self) -> None:
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -108,6 +108,7 @@
         instance_id = InstanceId(settings.instance_id)
         self._peers = Peers(
             address=settings.peer_listen,
+            bind=settings.peer_bind,
             seeds=settings.seed_peers,
             instance_id=instance_id,
             incarnation=self.incarnation,
--- a/bluebellshore/entry/settings.py
+++ b/bluebellshore/entry/settings.py
@@ -15,6 +15,8 @@
     :param listen: for callers.
     :param ready_listen: for the platform's question whether callers may be sent.
     :param peer_listen: for other routers; empty for none.
+    :param peer_bind: where exchanges are taken if others reach this process by
+        another address; empty for `peer_listen`.
     :param seed_peers: ``peer_listen`` of routers that may exist.
     :param store_address: the platform's store.
     :param heartbeat_seconds: interval at which backend servers renew their entries.
@@ -40,6 +42,7 @@
     ready_listen: str
     store_address: str
     peer_listen: str = ""
+    peer_bind: str = ""
     seed_peers: tuple[str, ...] = ()
     memory_bytes: int = 0
     file_descriptors: int = 0
--- a/bluebellshore/platform/settings.py
+++ b/bluebellshore/platform/settings.py
@@ -10,12 +10,18 @@
 from bluebellshore.entry.settings import EntrySettings
 from bluebellshore.errors import SettingsError
 
-__all__ = ["SETTINGS_VARIABLE", "load_settings", "parse_settings_file"]
+__all__ = [
+    "PEER_BIND_VARIABLE",
+    "SETTINGS_VARIABLE",
+    "load_settings",
+    "parse_settings_file",
+]
 
 SETTINGS_VARIABLE = "BLUEBELLSHORE_SETTINGS"
 #: Set by ``env`` of the deploy file.
 LOG_LEVEL_VARIABLE = "BLUEBELLSHORE_LOG_LEVEL"
 METRICS_VARIABLE = "BLUEBELLSHORE_METRICS_LISTEN"
+PEER_BIND_VARIABLE = "BLUEBELLSHORE_PEER_BIND"
 MEBIBYTE = 1024 * 1024
 MILLISECONDS = 1000.0
 
@@ -107,6 +113,7 @@
         settings,
         log_level=_log_level(),
         metrics_listen=os.environ.get(METRICS_VARIABLE, ""),
+        peer_bind=os.environ.get(PEER_BIND_VARIABLE, ""),
     )
 
 
--- a/bluebellshore/soak/faults.py
+++ b/bluebellshore/soak/faults.py
@@ -22,6 +22,17 @@
 MAX_DELAY_SECONDS = 0.6
 MAX_STORE_DELAY_SECONDS = 1.5
 LATE_CALLS = 5
+#: Writes a second that a busy store takes at most.
+MAX_BUSY_WRITES = 30
+MAX_JUMP_SECONDS = 8.0
+#: Tables that are out while the store serves the others.
+PARTS = (["op"], ["servers"], ["budget", "incarnation"], ["routers"])
+#: Time for which answers of the store wait before a router is paused too.
+LEAD_SECONDS = 0.2
+#: Signals for one change of the settings, and the longest pause between them.
+RELOADS = 4
+RELOAD_PAUSE_SECONDS = 0.1
+MAX_RETRY_CHANGE = 100.0
 #: Time from a drain's acceptance, or more, to the end of a backend server; longer
 #: than the checks allow for the last request to reach it.
 DRAIN_SECONDS = 5.0
@@ -99,9 +110,29 @@
                     await router.pause(fault.seconds)
             case Action.ROUTER_RELOAD:
                 router.reload()
+            case Action.ROUTER_EARLY_STOP:
+                await router.restart(fault.strength, gracefully=True, early=True)
+            case Action.ROUTER_SETTINGS:
+                router.write_settings(1000.0 + MAX_RETRY_CHANGE * fault.strength)
+                for _ in range(RELOADS):
+                    router.reload()
+                    await asyncio.sleep(RELOAD_PAUSE_SECONDS * fault.strength)
+            case Action.ROUTER_PAUSE_IN_WRITES:
+                # Grants of this time have their effect, and their answers wait.
+                answers = msgspec.structs.replace(
+                    fault, action=Action.STORE_ANSWERS_LATE
+                )
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._at_store(answers, self._system.store.state))
+                    await asyncio.sleep(LEAD_SECONDS)
+                    if router.running:
+                        await router.pause(fault.seconds)
             case _:
-                store = fault.action.value.startswith("store")
-                await self._at_link(fault, router.store if store else router.callers)
+                link = fault.action.value.partition("-")[0]
+                proxies = {"store": router.store, "peer": router.peer}
+                proxy = proxies.get(link, router.callers)
+                if proxy is not None:
+                    await self._at_link(fault, proxy)
 
     async def _at_link(self, fault: Fault, proxy: FaultProxy) -> None:
         kind = fault.action.value.rpartition("link-")[2]
@@ -168,9 +199,11 @@
         match fault.action:
             case Action.STORE_OUT:
                 how = NoAnswer.STATUS_503 if low else NoAnswer.RESET
-                begin, end = {"outage": how}, {"outage": False}
+                begin = {"outage": how, "tables": []}
+                end = {"outage": False, "tables": []}
             case Action.STORE_SILENT:
-                begin, end = {"outage": NoAnswer.SILENT}, {"outage": False}
+                begin = {"outage": NoAnswer.SILENT, "tables": []}
+                end = {"outage": False, "tables": []}
             case Action.STORE_SLOW:
                 delay = fault.strength * MAX_STORE_DELAY_SECONDS
                 begin, end = {"delay_seconds": delay}, {"delay_seconds": 0.0}
@@ -180,6 +213,23 @@
             case Action.STORE_LATE:
                 begin = {"late_next": LATE_CALLS, "late_seconds": fault.seconds}
                 end = {"late_next": 0}
+            case Action.STORE_PART_OUT:
+                tables = PARTS[int(fault.strength * len(PARTS)) % len(PARTS)]
+                begin = {"outage": NoAnswer.STATUS_429, "tables": tables}
+                end = {"outage": False, "tables": []}
+            case Action.STORE_ANSWERS_LATE:
+                delay = fault.strength * MAX_STORE_DELAY_SECONDS
+                begin = {"answer_delay_seconds": delay}
+                end = {"answer_delay_seconds": 0.0}
+            case Action.STORE_BUSY:
+                begin = {"part_writes_per_second": 1 + MAX_BUSY_WRITES * fault.strength}
+                end = {"part_writes_per_second": 0.0}
+            case Action.STORE_CLOCK:
+                # Steady, but routers that are suspended all together see it jump on.
+                ahead = state.faults.clock_ahead_seconds
+                ahead += MAX_JUMP_SECONDS * fault.strength
+                state.set_faults(PlatformFaults(clock_ahead_seconds=ahead))
+                return
             case Action.STORE_FORGETS:
                 state.set_faults(PlatformFaults(forget_history=True))
                 return
@@ -199,10 +249,18 @@
     def _lift_all(self) -> None:
         """Leave nothing behind of faults of one place that overlapped."""
         system = self._system
-        faults = {"outage": False, "delay_seconds": 0.0, "late_next": 0}
-        system.store.state.set_faults(PlatformFaults(lose_answers=0.0, **faults))
-        proxies = [p for r in system.routers for p in (r.callers, r.store)]
-        for proxy in [*proxies, *(server.proxy for server in system.servers)]:
+        system.store.state.set_faults(
+            PlatformFaults(
+                outage=False,
+                tables=[],
+                delay_seconds=0.0,
+                answer_delay_seconds=0.0,
+                late_next=0,
+                lose_answers=0.0,
+                part_writes_per_second=0.0,
+            )
+        )
+        for proxy in system.proxies:
             calm = DirectionChange(
                 delay_seconds=0.0, blocked=False, swallow=Swallow.NONE
             )
--- a/bluebellshore/soak/schedule.py
+++ b/bluebellshore/soak/schedule.py
@@ -18,6 +18,8 @@
 SERIES_SHARE = 0.25
 SERIES_LENGTH = 3
 SERIES_PAUSE_SECONDS = 0.4
+#: Share of the series of planned work at a router that have several kinds of it.
+MIXED_SHARE = 0.6
 RUNNERS = 6
 
 
@@ -28,6 +30,14 @@
     ROUTER_KILL = "router-kill"
     ROUTER_PAUSE = "router-pause"
     ROUTER_RELOAD = "router-reload"
+    ROUTER_EARLY_STOP = "router-early-stop"
+    ROUTER_SETTINGS = "router-settings"
+    ROUTER_PAUSE_IN_WRITES = "router-pause-in-writes"
+    PEER_LINK_CUT = "peer-link-cut"
+    PEER_LINK_REFUSED = "peer-link-refused"
+    PEER_LINK_DELAYED = "peer-link-delayed"
+    PEER_LINK_ONE_WAY = "peer-link-one-way"
+    PEER_LINK_SILENT = "peer-link-silent"
     STORE_LINK_CUT = "store-link-cut"
     STORE_LINK_REFUSED = "store-link-refused"
     STORE_LINK_DELAYED = "store-link-delayed"
@@ -50,6 +60,10 @@
     STORE_LOSES_ANSWERS = "store-loses-answers"
     STORE_LATE = "store-late"
     STORE_FORGETS = "store-forgets"
+    STORE_PART_OUT = "store-part-out"
+    STORE_ANSWERS_LATE = "store-answers-late"
+    STORE_BUSY = "store-busy"
+    STORE_CLOCK = "store-clock"
     CONFIGURATION = "configuration"
     TOP_UP = "top-up"
 
@@ -61,7 +75,7 @@
     @property
     def on_router(self) -> bool:
         """Whether its target is a router."""
-        return self.value.startswith(("router", "store-link", "caller"))
+        return self.value.startswith(("router", "store-link", "caller", "peer"))
 
     @property
     def on_server(self) -> bool:
@@ -69,14 +83,15 @@
         return self.value.startswith("server")
 
 
+#: Planned work at a router, which overlaps in some series.
+_ROUTER_WORK = (
+    Action.ROUTER_STOP,
+    Action.ROUTER_RELOAD,
+    Action.ROUTER_EARLY_STOP,
+    Action.ROUTER_SETTINGS,
+)
 _PLANNED = frozenset(
-    {
-        Action.ROUTER_STOP,
-        Action.ROUTER_RELOAD,
-        Action.CONFIGURATION,
-        Action.TOP_UP,
-        Action.SERVER_DRAIN,
-    }
+    {*_ROUTER_WORK, Action.CONFIGURATION, Action.TOP_UP, Action.SERVER_DRAIN}
 )
 
 
@@ -142,11 +157,13 @@
         length = SERIES_LENGTH if rng.random() < SERIES_SHARE else 1
         targets = routers if action.on_router else RUNNERS
         target = rng.randrange(targets)
+        mixed = action in _ROUTER_WORK and rng.random() < MIXED_SHARE
+        kinds = _ROUTER_WORK if length > 1 and mixed else (action,)
         for number in range(length):
             faults.append(
                 Fault(
                     at=round(at + number * SERIES_PAUSE_SECONDS, 3),
-                    action=action,
+                    action=rng.choice(kinds),
                     seconds=round(rng.uniform(MIN_SECONDS, MAX_SECONDS), 3),
                     target=target,
                     strength=round(rng.random(), 3),
--- a/bluebellshore/soak/system.py
+++ b/bluebellshore/soak/system.py
@@ -13,7 +13,7 @@
 from collections.abc import AsyncIterator
 
 from bluebellshore.load.process import PACKAGE_PARENT, ManagedProcess
-from bluebellshore.platform.settings import SETTINGS_VARIABLE
+from bluebellshore.platform.settings import PEER_BIND_VARIABLE, SETTINGS_VARIABLE
 from bluebellshore.settings import PlatformSettings, ProxySettings
 from bluebellshore.soak.schedule import RUNNERS, Schedule
 from bluebellshore.standin import FaultProxy, PlatformStandin
@@ -23,6 +23,7 @@
     configuration_of,
     settings_file,
 )
+from bluebellshore.standin.platform_faults import PlatformFaults
 from bluebellshore.standin.runner import (
     Arrival,
     RunnerSettings,
@@ -50,6 +51,14 @@
 #: signals and faults find requests in flight.
 FAST_SECONDS, SLOW_SECONDS = 0.03, 0.25
 SLOW = (0, 1)
+#: Routers whose exchanges go through a proxy; those of many routers would take most of
+#: a processor there.
+PEER_PROXIES = 24
+#: What the store's clock may show at the begin, in seconds.
+CLOCKS_SECONDS = (0.0, 1e6, 1.7e9)
+POLL_SECONDS = 0.005
+#: Routers that a settings file names, as on the platform.
+SEEDS = 3
 #: Lines of a process that are kept for the report.
 OUTPUT_LINES = 20_000
 
@@ -69,9 +78,13 @@
     def __init__(self, number: int, folder: pathlib.Path):
         self.name = f"entry-{number}"
         self.path = folder / f"{self.name}.json"
-        self.listen, self.ready, self.peer = (free_low_address() for _ in range(3))
+        self.listen, self.ready, self.bind = (free_low_address() for _ in range(3))
         self.callers = FaultProxy(ProxySettings(upstream=self.listen))
         self.store: FaultProxy | None = None
+        self.peer: FaultProxy | None = None
+        if number < PEER_PROXIES:
+            self.peer = FaultProxy(ProxySettings(upstream=self.bind))
+        self.peers: list[str] = []
         self.process: ManagedProcess | None = None
         self.lives = 0
         self.ended: list[str] = []
@@ -84,12 +97,46 @@
         """Whether its process runs."""
         return self.process is not None and self.process.running
 
+    @property
+    def peer_address(self) -> str:
+        """Where other routers reach this one."""
+        return self.peer.address if self.peer else self.bind
+
+    @property
+    def proxies(self) -> list[FaultProxy]:
+        """Its links that can be disturbed."""
+        return [p for p in (self.callers, self.store, self.peer) if p is not None]
+
+    def write_settings(self, retry_extra: float = 1000.0) -> None:
+        """Write the settings file, whole at any moment."""
+        written = self.path.with_suffix(".new")
+        written.write_bytes(
+            settings_file(
+                name=self.name,
+                zone="zone-a",
+                listen=self.listen,
+                ready_listen=self.ready,
+                peer_listen=self.peer_address,
+                peers=self.peers,
+                store=self.store.address,
+                heartbeat_seconds=HEARTBEAT_SECONDS,
+                stop_seconds=STOP_SECONDS,
+                retry_extra=retry_extra,
+            )
+        )
+        written.replace(self.path)
+
     async def start(self) -> None:
         """Start a process."""
+        process = self._next_life()
+        await process.start()
+
+    def _next_life(self) -> ManagedProcess:
         paths = [str(PACKAGE_PARENT), os.environ.get("PYTHONPATH", "")]
         program = (
             "/usr/bin/env",
             f"{SETTINGS_VARIABLE}={self.path}",
+            f"{PEER_BIND_VARIABLE}={self.bind}",
             f"PYTHONPATH={os.pathsep.join(filter(None, paths))}",
             sys.executable,
         )
@@ -98,24 +145,48 @@
         )
         # Lines on one request may lie far apart.
         process.output = collections.deque(maxlen=OUTPUT_LINES)
-        await process.start()
         self.lives += 1
         self.process = process
         self.outputs.append(process)
+        return process
 
-    async def restart(self, seconds: float, *, gracefully: bool) -> None:
-        """End the process, wait and start another one."""
+    async def restart(
+        self, seconds: float, *, gracefully: bool, early: bool = False
+    ) -> None:
+        """End the process, wait and start another one.
+
+        :param early: stop one more between them as soon as its port is open.
+        """
         async with self._lock:
             if self._closing or not self._alive():
                 return
             if gracefully:
-                await self._stop()
+                await self._stop(again=seconds)
             else:
                 await self.process.kill()
             await asyncio.sleep(seconds)
+            if early and not self._closing:
+                await self._start_and_stop()
             if not self._closing:
                 await self.start()
 
+    async def _start_and_stop(self) -> None:
+        process = self._next_life()
+        starting = asyncio.create_task(process.start())
+        while not starting.done() and not await self._accepts():
+            await asyncio.sleep(POLL_SECONDS)
+        await self._stop(again=0.0)
+        await asyncio.gather(starting, return_exceptions=True)
+
+    async def _accepts(self) -> bool:
+        host, _, port = self.listen.partition(":")
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def pause(self, seconds: float) -> None:
         """Freeze the process that runs now, for a while."""
         process = self.process
@@ -151,11 +222,16 @@
                 f"{self.name} life {self.lives}: exit code {self.process.exit_code}"
             )
 
-    async def _stop(self) -> None:
+    async def _stop(self, again: float) -> None:
+        """Stop the process, with further signals after `again` seconds."""
         process = self.process
         try:
             async with asyncio.timeout(STOP_SECONDS):
-                code = await process.terminate()
+                ending = asyncio.create_task(process.terminate())
+                await asyncio.sleep(again)
+                process.reload()
+                await process.terminate()
+                code = await ending
         except TimeoutError:
             process.wake()
             await process.kill()
@@ -225,6 +301,8 @@
     def __init__(self, schedule: Schedule, folder: pathlib.Path):
         seed = schedule.seed
         self.store = PlatformStandin(PlatformSettings(seed=seed))
+        ahead = random.Random(seed).choice(CLOCKS_SECONDS)
+        self.store.state.set_faults(PlatformFaults(clock_ahead_seconds=ahead))
         self.entries = RunnerEntries(self.store.state, HEARTBEAT_SECONDS)
         self.routers = [Router(number, folder) for number in range(schedule.routers)]
         self.servers = [
@@ -236,6 +314,12 @@
         self.configured_at: dict[int, float] = {}
         self.prepaid = int(PREPAID_A_SECOND * schedule.seconds * schedule.routers)
 
+    @property
+    def proxies(self) -> list[FaultProxy]:
+        """All links that can be disturbed."""
+        found = [proxy for router in self.routers for proxy in router.proxies]
+        return found + [s.proxy for s in self.servers if s.proxy is not None]
+
     def configure(self) -> None:
         """Have the operator write the next configuration: it adds a route."""
         self.number += 1
@@ -282,28 +366,15 @@
             await server.start()
         for router in self.routers:
             router.store = FaultProxy(ProxySettings(upstream=self.store.address))
-            await router.store.start()
-            await router.callers.start()
-            peers = [other.peer for other in self.routers if other is not router]
-            router.path.write_bytes(
-                settings_file(
-                    name=router.name,
-                    zone="zone-a",
-                    listen=router.listen,
-                    ready_listen=router.ready,
-                    peer_listen=router.peer,
-                    peers=peers,
-                    store=router.store.address,
-                    heartbeat_seconds=HEARTBEAT_SECONDS,
-                    stop_seconds=STOP_SECONDS,
-                )
-            )
+            await asyncio.gather(*(proxy.start() for proxy in router.proxies))
+        for router in self.routers:
+            others = (other for other in self.routers if other is not router)
+            router.peers = [other.peer_address for other in others][:SEEDS]
+            router.write_settings()
         await asyncio.gather(*(router.start() for router in self.routers))
 
     async def _stop(self) -> None:
         await asyncio.gather(*(router.close() for router in self.routers))
-        proxies = [p for r in self.routers for p in (r.callers, r.store)]
-        proxies += [server.proxy for server in self.servers]
-        await asyncio.gather(*(p.stop() for p in proxies if p is not None))
+        await asyncio.gather(*(proxy.stop() for proxy in self.proxies))
         await asyncio.gather(*(s.runner.crash() for s in self.servers if s._lives))
         await self.store.stop()
--- a/bluebellshore/standin/platform.py
+++ b/bluebellshore/standin/platform.py
@@ -262,7 +262,7 @@
         return _rows_answer(state, rows, status=412)
     state.counts.transactions += 1
     state.counts.rows_written += len(body.write) + len(body.remove)
-    answer = {"rowVersion": state.rows.version, "currentTimeMs": _now_ms()}
+    answer = {"rowVersion": state.rows.version, "currentTimeMs": _now_ms(state)}
     return json_response(answer)
 
 
@@ -373,9 +373,12 @@
     status: int = 200,
     **fields: object,
 ) -> web.Response:
-    answer = {"rowVersion": state.rows.version, "currentTimeMs": _now_ms()} | fields
+    answer = {
+        "rowVersion": state.rows.version,
+        "currentTimeMs": _now_ms(state),
+    } | fields
     return json_response({"rows": rows} | answer, status=status)
 
 
-def _now_ms() -> int:
-    return int(time.monotonic() * 1000)
+def _now_ms(state: PlatformState) -> int:
+    return int((time.monotonic() + state.faults.clock_ahead_seconds) * 1000)
--- a/bluebellshore/standin/platform_faults.py
+++ b/bluebellshore/standin/platform_faults.py
@@ -40,6 +40,8 @@
     :param part_writes_per_second: transactions of one part, one after another; 0
         for no limit.
     :param forget_history: forget all changes so far.
+    :param clock_ahead_seconds: by how much the store's clock is ahead of this
+        process's monotonic one.
     """
 
     outage: bool | NoAnswer | None = None
@@ -56,6 +58,7 @@
     answer_delay_seconds: float | None = None
     part_writes_per_second: float | None = None
     forget_history: bool | None = None
+    clock_ahead_seconds: float | None = None
 
 
 class FaultState:
@@ -75,6 +78,7 @@
         self.late_seconds = 0.0
         self.delay_seconds = 0.0
         self.answer_delay_seconds = 0.0
+        self.clock_ahead_seconds = 0.0
 
     def update(self, faults: PlatformFaults) -> None:
         """Change the faults that `faults` names."""
@@ -86,14 +90,15 @@
         """Return how a call goes wrong before its effect, None when it does not."""
         if caller in self.refused_callers:
             return self.refusal
-        if self.outage and self._concerns(tables):
+        if self.outage and self.concerns(tables):
             return NoAnswer.RESET if self.outage is True else self.outage
         if self.fail_next > 0:
             self.fail_next -= 1
             return NoAnswer.RESET
         return None
 
-    def _concerns(self, tables: set[str]) -> bool:
+    def concerns(self, tables: set[str]) -> bool:
+        """Whether an outage would concern a call with some of these tables."""
         concerned = tables - set(self.spared_tables)
         if self.tables:
             concerned &= set(self.tables)
--- a/bluebellshore/standin/runner_entries.py
+++ b/bluebellshore/standin/runner_entries.py
@@ -34,8 +34,9 @@
     @property
     def out(self) -> bool:
         """Whether the store takes nothing."""
-        outage = self._state.faults.outage
-        return outage is True or isinstance(outage, NoAnswer)
+        faults = self._state.faults
+        out = faults.outage is True or isinstance(faults.outage, NoAnswer)
+        return out and faults.concerns({TABLE})
 
     def renew(self, runner_id: str, entry: dict[str, object]) -> bool:
         """Write an entry. :return: whether the store took it."""
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -10,6 +10,7 @@
 from bluebellshore.cli.main import ExitCode
 from bluebellshore.errors import SettingsError
 from bluebellshore.platform.settings import (
+    PEER_BIND_VARIABLE,
     SETTINGS_VARIABLE,
     load_settings,
     parse_settings_file,
@@ -190,6 +191,14 @@
                 load_settings()
         self.assertIn(SETTINGS_VARIABLE, str(caught.exception))
 
+    def test_exchanges_may_be_taken_at_another_address(self):
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(json.dumps(make_file()).encode())
+            file.flush()
+            variables = {SETTINGS_VARIABLE: file.name, PEER_BIND_VARIABLE: "[::1]:7"}
+            with mock.patch.dict(os.environ, variables):
+                self.assertEqual("[::1]:7", load_settings().peer_bind)
+
 
 class SettingsCheckCommandTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,10 +20,14 @@
 from bluebellshore.standin.runner import Arrival
 
 #: Seeds of short runs, with the cause for which each is here.
-SEEDS = {5: "planned work alone"}
+SEEDS = {1: "planned work alone"}
 #: Faults of findings, by their cause; the seeds that found them drew other faults
 #: before themes came in.
 CASES = {
+    "SIGTERM between the open port and its handler ended a router at once": [
+        Fault(1.0 + number * 1.5, Action.ROUTER_EARLY_STOP, 0.3, number % 2)
+        for number in range(2)
+    ],
     "callers that reset between two writes were internal errors": [
         Fault(1.0 + number * 0.2, Action.CALLER_LINK_CUT, 0.3, number % 2)
         for number in range(15)
