--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -17,7 +17,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ["MUTANTS", "Mutant", "ROOT", "mutated"]
+__all__ = ["MUTANTS", "Mutant", "ROOT", "copy_tracked_files", "mutated"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TEST_TIMEOUT_SECONDS = 150
@@ -62,7 +62,8 @@
     return text.replace(mutant.old, mutant.new)
 
 
-def _make_copy(target: pathlib.Path) -> None:
+def copy_tracked_files(target: pathlib.Path) -> None:
+    """Copy the tracked files, with shorter waits of tests."""
     listed = subprocess.run(
         ["git", "ls-files", "-z"], cwd=ROOT, check=True, capture_output=True
     )
@@ -131,7 +132,7 @@
     print("| mutant | removed | test | verdict |\n| --- | --- | --- | --- |")
     with tempfile.TemporaryDirectory(prefix="mutants-") as directory:
         root = pathlib.Path(directory)
-        _make_copy(root)
+        copy_tracked_files(root)
         for mutant in chosen:
             verdict = await _try(mutant, root, sound)
             bad += not verdict.startswith("killed")
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -4,14 +4,16 @@
 import unittest
 
 from tests.mutants import MUTANTS, ROOT, mutated
+from tests.soak_mutants import GUARDS
 
 
 class MutantsTest(unittest.TestCase):
     def test_names_are_unique(self):
         self.assertEqual(len({mutant.name for mutant in MUTANTS}), len(MUTANTS))
+        self.assertEqual(len({guard.name for guard in GUARDS}), len(GUARDS))
 
     def test_each_removes_one_place_of_the_product(self):
-        for mutant in MUTANTS:
+        for mutant in (*MUTANTS, *(guard.mutant() for guard in GUARDS)):
             with self.subTest(mutant.name):
                 self.assertTrue(mutant.path.startswith("bluebellshore/"))
                 text = mutated(mutant)
