Take no late body for a head, and let the soak's proxies last

Cause: after an early refusal the rest of that request's body may come when its handler has ended; its bytes began a head's time, and the idle connection was closed 5 s later, under a caller that used it again. The time now begins only when the body of the last request is whole.

--- a/bluebellshore/entry/connections.py
+++ b/bluebellshore/entry/connections.py
@@ -27,7 +27,14 @@
     :param on_late: called when a head took longer, with that time.
     """
 
-    __slots__ = ("_body", "_head_seconds", "_head_timer", "_next_began", "_on_late")
+    __slots__ = (
+        "_body",
+        "_busy",
+        "_head_seconds",
+        "_head_timer",
+        "_next_began",
+        "_on_late",
+    )
 
     def __init__(
         self,
@@ -41,28 +48,30 @@
         self._head_seconds = head_seconds
         self._on_late = on_late
         self._head_timer: asyncio.TimerHandle | None = None
-        #: Of the request that is being answered.
+        #: Of the last request; it may still come after an early refusal.
         self._body: StreamReader | None = None
+        self._busy = False
         self._next_began = False
 
     def request_began(self, body: StreamReader) -> None:
         """Take in that a whole head was read; `body` may be on its way."""
-        self._body = body
+        self._body, self._busy = body, True
         self._stop_timer()
 
     def request_ended(self) -> None:
         """Take in that the answer is done; the next head may have begun meanwhile."""
-        self._body = None
+        self._busy = False
         if self._next_began:
             self._next_began = False
             self._start_timer()
 
     def data_received(self, data: bytes) -> None:
         """Read bytes; the first ones of a head begin its time."""
-        if self._body is None:
-            self._start_timer()
-        elif self._body.is_eof():
-            self._next_began = True
+        if self._body is None or self._body.is_eof():
+            if self._busy:
+                self._next_began = True
+            else:
+                self._start_timer()
         super().data_received(data)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/bluebellshore/soak/callers.py
+++ b/bluebellshore/soak/callers.py
@@ -31,8 +31,6 @@
 #: Time beyond its deadline that a caller waits.
 PATIENCE_SECONDS = 1.0
 PAUSE_SECONDS = (0.0, 0.12)
-#: Routers up to which callers pause no longer than that.
-FEW_ROUTERS = 6
 LEAVE_SHARE = 0.08
 NEW_CONNECTION_SHARE = 0.3
 
@@ -110,8 +108,6 @@
     def __init__(self, system: SoakSystem, seed: int, count: int):
         self._system = system
         self._count = count
-        #: All callers together send what those of a few routers would.
-        self._slower = max(1.0, len(system.routers) / FEW_ROUTERS)
         self._seed = seed
         self._attempts = itertools.count(1)
         self.sent: list[Sent] = []
@@ -157,7 +153,7 @@
                     await self._send(own, router, sent, seconds, leave)
             else:
                 await self._send(session, router, sent, seconds, leave)
-            await asyncio.sleep(rng.uniform(*PAUSE_SECONDS) * self._slower)
+            await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
 
     def _begin(self, router: Router, kind: Kind, number: int) -> Sent:
         attempt_id = f"{self._seed}-{next(self._attempts)}"
--- a/bluebellshore/soak/run.py
+++ b/bluebellshore/soak/run.py
@@ -16,6 +16,8 @@
 __all__ = ["Outcome", "run_schedule", "seek_smaller"]
 
 CALLERS_PER_ROUTER = 4
+#: Callers of all routers together, for which one process has time.
+MAX_CALLERS = 48
 #: Time after the last fault in which every router must serve again. Stands far above
 #: what a router needs, since the machine is shared.
 RECOVERY_SECONDS = 25.0
@@ -65,7 +67,8 @@
     """Run a schedule and check the promises."""
     async with SoakSystem.open(schedule) as system:
         faults = FaultRun(system, schedule)
-        callers = Callers(system, schedule.seed, CALLERS_PER_ROUTER * schedule.routers)
+        count = min(MAX_CALLERS, CALLERS_PER_ROUTER * schedule.routers)
+        callers = Callers(system, schedule.seed, count)
         async with callers.running():
             await faults.run()
             silent = await _recover(system, callers)
--- a/bluebellshore/soak/system.py
+++ b/bluebellshore/soak/system.py
@@ -53,7 +53,7 @@
 SLOW = (0, 1)
 #: Routers whose exchanges go through a proxy; those of many routers would take most of
 #: a processor there.
-PEER_PROXIES = 24
+PEER_PROXIES = 6
 #: What the store's clock may show at the begin, in seconds.
 CLOCKS_SECONDS = (0.0, 1e6, 1.7e9)
 POLL_SECONDS = 0.005
--- a/bluebellshore/standin/proxy.py
+++ b/bluebellshore/standin/proxy.py
@@ -26,6 +26,8 @@
 
 SOCKET_BUFFER_BYTES = 64 * 1024
 LISTEN_BACKLOG = 256
+#: Pause after a connection that could not be accepted.
+ACCEPT_PAUSE_SECONDS = 0.05
 
 
 class FaultProxy:
@@ -101,7 +103,11 @@
         loop = asyncio.get_running_loop()
         with listener:
             while True:
-                client, _ = await loop.sock_accept(listener)
+                try:
+                    client, _ = await loop.sock_accept(listener)
+                except OSError:  # no descriptor is free for now
+                    await asyncio.sleep(ACCEPT_PAUSE_SECONDS)
+                    continue
                 client.setblocking(False)
                 self._spawn(self._pass_on(client))
 
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -3,8 +3,12 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
+
+from aiohttp.web_protocol import RequestHandler
 
 from bluebellshore.decisions import DecisionLog
+from bluebellshore.entry.connections import CallerServer
 from bluebellshore.entry.ingress import Ingress
 from bluebellshore.entry.knowledge import Knowledge
 from bluebellshore.entry.trace import RequestEnds
@@ -91,6 +95,20 @@
         await self.answer()
         await self.answer()
 
+    async def test_body_that_comes_after_a_refusal_is_no_head(self):
+        options = {"head_seconds": lambda: LONG_SECONDS, "on_late": self.fail}
+        made = CallerServer(self.serve, handler_cancellation=True, **options)()
+        body = mock.Mock(**{"is_eof.return_value": False})
+        made.request_began(body)
+        made.request_ended()
+        with mock.patch.object(RequestHandler, "data_received"):
+            made.data_received(b"rest of the body")
+            self.assertIsNone(made._head_timer)
+            body.is_eof.return_value = True
+            made.data_received(BEGIN)
+        self.assertIsNotNone(made._head_timer)
+        made._head_timer.cancel()
+
     async def test_bytes_now_and_then_do_not_extend_the_time(self):
         await self.connect(SHORT_SECONDS)
         self.writer.write(BEGIN)
