Follow a peer that is ahead with a rollout's share; hurry where time is short

Cause: each router takes the next step by the exposure that is left for the whole fleet. One that counted enough results 0.1 s later found the room taken by the first one and stayed at a quarter while that one had all its traffic moved.

A router now takes the step that a peer told of lately, above the first share, while its own opinion is good and there is room to stay for the reaction time. Steps between are left out where two more would end past the time to go back, and the first share makes up for requests that are missing (few requests: 26 of about 37 by the ramp).

--- a/bluebellshore/rollouts/plan.py
+++ b/bluebellshore/rollouts/plan.py
@@ -31,6 +31,8 @@
 #: for which there must be exposure left to stay there.
 FULL_SECONDS = 1.6
 REACTION_SECONDS = 0.25
+#: Least time over which the first share makes up for requests that are missing.
+CATCH_UP_SECONDS = 2.0
 #: Most of the first share, for services with few requests.
 MOST_FIRST_SHARE = 0.25
 #: Requests are expected to go on at this part of their rate.
@@ -46,6 +48,7 @@
     :param requests: requests that the service got since the order.
     :param has_results: whether its answers suffice for an opinion.
     :param may_finish: whether the completion could be written.
+    :param peers_share: highest share that a peer told of lately.
     """
 
     age: float
@@ -57,6 +60,7 @@
     exposure_extra: float
     has_results: bool = False
     may_finish: bool = True
+    peers_share: float = 0.0
 
     @property
     def rate(self) -> float:
@@ -80,8 +84,7 @@
 
 def late(situation: Situation) -> bool:
     """Return whether it is time to go back."""
-    reserve = max(RESERVE_SECONDS, RESERVE_PART * situation.seconds)
-    return situation.age >= situation.seconds - reserve
+    return situation.age >= _last_age(situation)
 
 
 class SharePlan:
@@ -115,18 +118,24 @@
             return STEPS[self._step]
         if situation.age < LEARN_SECONDS or not situation.requests:
             return FIRST_SHARE
+        wanted = first_requests(situation)
         seconds = max(LEARN_SECONDS, _ramp_at(situation))
-        share = first_requests(situation) / (situation.rate * seconds)
-        return min(MOST_FIRST_SHARE, share)
+        left = max(CATCH_UP_SECONDS, seconds - situation.age)
+        missing = max(wanted / seconds, (wanted - situation.exposed) / left)
+        return min(MOST_FIRST_SHARE, missing / situation.rate)
 
     def _next(self, situation: Situation) -> int | None:
         """Return the step that begins now; None to stay.
 
-        A step between is left out where the exposure would not suffice for the last.
+        A step between is left out where the exposure or the time would not suffice for
+        the last.
         """
-        if situation.opinion is not Opinion.GOOD or not situation.has_results:
+        if situation.opinion is not Opinion.GOOD or not situation.may_finish:
             return None
-        if not situation.may_finish:
+        followed = self._followed(situation)
+        if followed is not None:
+            return followed
+        if not situation.has_results:
             return None
         seconds = _step_seconds(situation)
         if self._step < 0:
@@ -134,18 +143,40 @@
                 return None
         elif situation.age < self._since + seconds:
             return None
+        hurried = situation.age + 2 * seconds + FULL_SECONDS > _last_age(situation)
         for step in range(self._step + 1, len(STEPS)):
+            if hurried and STEPS[step] < 1.0:
+                continue
             between = STEPS[step] * seconds if STEPS[step] < 1.0 else 0.0
             if self._has_room(situation, 1.0, between + FULL_SECONDS):
                 return step
         return None
 
+    def _followed(self, situation: Situation) -> int | None:
+        """Return the step of a peer that is ahead; None without one.
+
+        What it needed room for is needed once for the whole fleet, and its completion
+        waits for all.
+        """
+        for step in range(len(STEPS) - 1, self._step, -1):
+            share = STEPS[step]
+            if MOST_FIRST_SHARE < share <= situation.peers_share:
+                room = self._has_room(situation, share, REACTION_SECONDS)
+                return step if room else None
+        return None
+
     @staticmethod
     def _has_room(situation: Situation, share: float, seconds: float) -> bool:
         more = share * situation.rate * seconds
         return situation.exposed + more <= situation.allowed
 
 
+def _last_age(situation: Situation) -> float:
+    """Return the age at which it is time to go back."""
+    reserve = max(RESERVE_SECONDS, RESERVE_PART * situation.seconds)
+    return situation.seconds - reserve
+
+
 def _step_seconds(situation: Situation) -> float:
     least, most = STEP_SECONDS
     if not situation.requests:
--- a/bluebellshore/rollouts/track.py
+++ b/bluebellshore/rollouts/track.py
@@ -253,6 +253,10 @@
             exposure_share=self._exposure.share,
             exposure_extra=self._exposure.extra,
             may_finish=may_finish and self.record is not None,
+            peers_share=max(
+                (h.share for h in self._heard.values() if now - h.at <= REPORT_SECONDS),
+                default=0.0,
+            ),
         )
         enough = has_results(whole, first_requests(situation))
         return msgspec.structs.replace(situation, has_results=enough)
