Give rare routes more of a rollout's first share than an even part

Weights now follow a route's rarity to the power 1.5: c gets half of the first share in place of a third. Results wanted of a route follow its weight, and what it can get at all; weights hold up to a share of a quarter, where a service with few requests spends the whole first phase.

Not tried: counting attempts as overdue sooner.

--- a/bluebellshore/rollouts/routes.py
+++ b/bluebellshore/rollouts/routes.py
@@ -16,8 +16,11 @@
 EXPECTED_PART = 0.6
 #: Multiple of the share that a route with few requests gets at most, the share up to
 #: which it does, and the most that it so gets.
-MOST_WEIGHT = 5.0
+MOST_WEIGHT = 8.0
 LOW_SHARE = 0.25
+#: Power of a route's rarity that its weight follows. At 1.0 all routes get as many
+#: requests; above it rare ones get more, as they get few once the share is high.
+RARITY_POWER = 1.5
 MOST_SHARE = 0.6
 #: Requests from which the routes' parts are known.
 LEAST_REQUESTS = 30
@@ -32,9 +35,14 @@
     if results.total() < LEAST_RESULTS:
         return False
     routes = [route for route in sent if sent[route] >= ROUTE_PART * sent.total()]
+    weights = route_weights(counts_by_key)
     least, most = ROUTE_RESULTS
-    wanted = min(most, max(least, EXPECTED_PART * expected / len(sent)))
-    return all(results[route] >= wanted for route in routes)
+    for route in routes:
+        part = weights.get(route, 1.0) * sent[route] / sent.total()
+        possible = min(expected * part, MOST_SHARE * sent[route])
+        if results[route] < min(most, max(least, EXPECTED_PART * possible)):
+            return False
+    return True
 
 
 def route_weights(counts_by_key: dict[Key, Counts]) -> dict[RouteName, float]:
@@ -47,14 +55,16 @@
     if total < LEAST_REQUESTS:
         return {}
     mean = total / len(sent)
-    weights = {route: min(MOST_WEIGHT, mean / sent[route]) for route in sent}
+    weights = {
+        route: min(MOST_WEIGHT, (mean / sent[route]) ** RARITY_POWER) for route in sent
+    }
     taken = sum(weights[route] * sent[route] for route in sent) / total
     return {route: weight / taken for route, weight in weights.items()}
 
 
 def route_share(share: float, weight: float) -> float:
     """Return a route's share; routes differ only while the share is low."""
-    if share >= LOW_SHARE:
+    if share > LOW_SHARE:
         return share
     return min(MOST_SHARE, share * weight)
 
