Write a router's own row alone when conflicts hold up its sign of life

Cause: caps spare tokens at a kill only while the row is fresh, and a heartbeat went in one transaction with rows of budgets that conflict. Test: the row stays fresh while each write of a budget's row conflicts.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -107,11 +107,15 @@
             keeps_ledger=keeps_ledger,
         )
         self._journal.on_applied = lambda transaction: self.on_applied(transaction)
+        #: Whether the own row may be written without a look at budgets.
+        self._beats_alone = not keeps_ledger
         self._waiters = Waiters()
         #: Budgets that one transaction touches: fewer after conflicts.
         self._most_budgets = MAX_TRANSACTION_WRITES
-        #: Whether the last transaction was for higher caps alone.
-        self._raised_caps = False
+        #: Whether budgets' rows conflicted since they were written last.
+        self._contended = False
+        #: Whether the last transaction was for the own row alone.
+        self._own_alone = False
         self._prepared: dict[IncarnationId, dict[BudgetId, int]] = {}
         self._wake = asyncio.Event()
         self._committing = asyncio.Lock()
@@ -379,18 +383,26 @@
             closing=self._closing,
         )
 
-    def _cap_request(self) -> Request:
-        """Return a request for higher caps alone.
-
-        It touches the incarnation's own row, which no other router changes.
-        """
+    def _own_request(self) -> Request:
+        """Return a request that touches the own row, which no other router changes."""
         return Request(
-            demands_by_budget={}, needs_by_sidecar=self._waiters.needs_by_sidecar()
+            demands_by_budget={},
+            needs_by_sidecar=self._waiters.needs_by_sidecar(),
+            alone=self._beats_alone,
         )
 
-    def _is_capped(self) -> bool:
-        """Whether a request waits for nothing but a higher cap."""
-        return not self._closing and any(
+    def _needs_own_row(self, now: float) -> bool:
+        """Whether the own row can't wait for budgets' rows, which may conflict.
+
+        A request waits for nothing but a higher cap, or conflicts hold up a sign of
+        life that is due.
+        """
+        if self._closing:
+            return False
+        late = now >= self._committed_at + self._times.heartbeat
+        if self._beats_alone and self._contended and late:
+            return True
+        return any(
             self.book.account(waiter.budget).free >= waiter.tokens
             for waiter in self._waiters
         )
@@ -422,8 +434,8 @@
 
     async def _commit_once(self) -> None:
         now = self._clock()
-        self._raised_caps = self._is_capped() and not self._raised_caps
-        request = self._cap_request() if self._raised_caps else self._request(now)
+        self._own_alone = self._needs_own_row(now) and not self._own_alone
+        request = self._own_request() if self._own_alone else self._request(now)
         self._urgent = False
         try:
             result = await self._journal.commit(request, now, self._most_budgets)
@@ -436,6 +448,7 @@
         self._reached()
         if result is CommitResult.CONFLICT:
             self.conflicts += 1
+            self._contended = True
             self._failures += 1
             self._most_budgets = max(1, self._most_budgets // 2)
             if self._most_budgets == 1:
@@ -446,18 +459,24 @@
         self._committed(request, result, now)
 
     def _committed(self, request: Request, result: CommitResult, now: float) -> None:
-        self._failures = 0
-        if result is CommitResult.COMMITTED:
+        committed = result is CommitResult.COMMITTED
+        if committed:
             self._committed_at = now
+        if self._own_alone:
+            self._serve_waiters()
+            self._urgent = len(self._waiters) > 0
+            return
+        self._failures = 0
+        self._contended = False
+        if committed:
             self._most_budgets = min(MAX_TRANSACTION_WRITES, self._most_budgets * 2)
-        if self._raised_caps or self._journal.partial:
+        if self._journal.partial:
             self._serve_waiters()
             self._urgent = len(self._waiters) > 0
-            if self._journal.partial:
-                # The rest follows soon, not at once: each costs two calls.
-                soon = now + PARTIAL_PAUSE_SECONDS
-                self._looked_at = min(now, soon - self._times.look)
-                self._settle_at = max(self._settle_at, soon)
+            # The rest follows soon, not at once: each costs two calls.
+            soon = now + PARTIAL_PAUSE_SECONDS
+            self._looked_at = min(now, soon - self._times.look)
+            self._settle_at = max(self._settle_at, soon)
             return
         self._attended -= request.attended
         if request.attended >= self.book.accounts_by_budget.keys():
@@ -468,7 +487,7 @@
             self._settle_factor = max(1.0, self._settle_factor * 0.9)
             jitter = self._rng.uniform(0.75, 1.25)
             self._settle_at = now + self._times.settle * self._settle_factor * jitter
-            if result is CommitResult.COMMITTED and self._more_than_a_batch():
+            if committed and self._more_than_a_batch():
                 self._settle_at = now
         self._serve_waiters()
         self._refuse_exhausted()
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -707,6 +707,32 @@
         self.assertEqual(world.row().settled, 4 * (free // 5))
         await world.stop()
 
+    @in_virtual_time
+    async def test_signs_of_life_go_on_while_budgets_rows_always_conflict(self):
+        world = World({"acme": PREPAID}, caps=True)
+        await world.start("r1")
+        await asyncio.sleep(3)
+        client = world.clients["r1"]
+        transact = client.transact
+
+        async def conflict_on_budgets(writes):
+            keys = [w.key for w in writes if w.key.startswith("budget/")]
+            if keys:
+                raise TransactionConflictError(keys, step="transact")
+            return await transact(writes)
+
+        client.transact = conflict_on_budgets
+        loop = asyncio.get_running_loop()
+        oldest = 0.0
+        for _ in range(80):
+            error = await world.request("r1", "acme", 50, 50, 0.05)
+            self.assertIsNone(error)
+            age = loop.time() - world.incarnations()["r1.1"].seen_seconds
+            oldest = max(oldest, age)
+        self.assertLess(oldest, 2.2)  # a heartbeat and the longest pause
+        client.transact = transact
+        await world.stop()
+
     @in_virtual_time
     async def test_many_routers_settle_many_budgets(self):
         customers = [f"c{number:02d}" for number in range(24)]
