Revert turns for writing budgets' rows

Tried: after a conflict a router goes on by turns told by the store's clock. Likely cause, not traced: each conflict puts all writes of a router off to its next turns, requests that wait for tokens too, up to 1.8 s with 22 routers, while there is no storm. Next to try: turns for recoveries alone, or only while many conflicts follow one another.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -16,10 +16,8 @@
     Transaction,
 )
 from bluebellshore.budget.journal import CommitResult, Journal
-from bluebellshore.budget.pace import Pace
 from bluebellshore.budget.policy import AllotmentPolicy
 from bluebellshore.budget.rows import IncarnationRow
-from bluebellshore.budget.turns import Turn
 from bluebellshore.budget.waiters import Waiter, Waiters
 from bluebellshore.errors import (
     InsufficientBudgetError,
@@ -28,7 +26,7 @@
     RefusedError,
 )
 from bluebellshore.ids import BudgetId, IncarnationId, InstanceId, Tokens
-from bluebellshore.store.interface import TableService
+from bluebellshore.store.interface import MAX_TRANSACTION_WRITES, TableService
 from bluebellshore.wire.link_pb2 import Receipt
 
 __all__ = ["Accountant", "AccountantTimes"]
@@ -37,8 +35,11 @@
 PLATFORM = "platform"
 MAX_OPEN_ATTEMPTS = 50_000
 RETRY_AFTER_SECONDS = 1.0
+BACKOFF_SECONDS = 0.01
 #: Pause before budgets that a transaction left out are looked at.
 PARTIAL_PAUSE_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 1.0
+MAX_SETTLE_FACTOR = 16.0
 COVER_SECONDS = 1.0
 
 
@@ -68,7 +69,6 @@
     :param rng: source of jitter.
     :param book: where the tokens are kept; new when left out.
     :param keeps_ledger: whether bills are written, not their sums alone.
-    :param next_turn: when to go on after a conflict; None for a random pause.
     """
 
     def __init__(
@@ -83,7 +83,6 @@
         rng: random.Random | None = None,
         book: AllotmentBook | None = None,
         keeps_ledger: bool = True,
-        next_turn: Callable[[], Turn | None] = lambda: None,
     ):
         #: Called when the platform gives no answer (True) and when it does again.
         self.on_platform: Callable[[bool], None] = lambda out: None
@@ -97,7 +96,7 @@
         self._prepaid = prepaid
         self._clock = clock
         self._times = times or AccountantTimes()
-        self._pace = Pace(rng or random.Random(), next_turn)
+        self._rng = rng or random.Random()
         self._journal = Journal(
             table,
             incarnation,
@@ -111,6 +110,10 @@
         #: Whether the own row may be written without a look at budgets.
         self._beats_alone = not keeps_ledger
         self._waiters = Waiters()
+        #: Budgets that one transaction touches: fewer after conflicts.
+        self._most_budgets = MAX_TRANSACTION_WRITES
+        #: Whether budgets' rows conflicted since they were written last.
+        self._contended = False
         #: Whether the last transaction was for the own row alone.
         self._own_alone = False
         self._prepared: dict[IncarnationId, dict[BudgetId, int]] = {}
@@ -121,6 +124,8 @@
         self._looked_at = 0.0
         self._short_until: dict[BudgetId, float] = {}
         self._closing = False
+        self._failures = 0
+        self._settle_factor = 1.0
         self._committed_at = 0.0
         self._settle_at = 0.0
 
@@ -146,7 +151,7 @@
                 self._failed()
                 await self._pause()
         self._reached()
-        self._pace.failures = 0
+        self._failures = 0
         self._committed_at = self._looked_at = self._clock()
 
     def cover(self, budget: BudgetId) -> Cover | None:
@@ -257,7 +262,6 @@
         Requests still in flight, or a platform outage, leave the row to reclaim.
         """
         self._closing = True
-        self._pace.hasten()
         self._wake.set()
         self._refuse_all()
         deadline = self._clock() + self._times.close
@@ -266,7 +270,7 @@
                 eliot.log_message("accountant_left_open", open=self.book.open_count())
                 return
             await self._commit()
-            hurry = self._pace.failures or self._more_than_a_batch()
+            hurry = self._failures or self._more_than_a_batch()
             if not self._journal.closed and not hurry:
                 await asyncio.sleep(self._times.settle)
 
@@ -326,7 +330,7 @@
         )
 
     def _refusal(self, waiter: Waiter) -> RefusedError:
-        if self.platform_out or self._pace.failures:
+        if self.platform_out or self._failures:
             return self._overload("the table service gives no tokens", PLATFORM)
         if self.book.account(waiter.budget).free >= waiter.tokens:
             return self._overload("cap of unsettled tokens reached", waiter.sidecar)
@@ -396,7 +400,7 @@
         if self._closing:
             return False
         late = now >= self._committed_at + self._times.heartbeat
-        if self._beats_alone and self._pace.contended and late:
+        if self._beats_alone and self._contended and late:
             return True
         return any(
             self.book.account(waiter.budget).free >= waiter.tokens
@@ -405,9 +409,6 @@
 
     def _due(self) -> float:
         """Return when the next commit is due."""
-        if self._pace.turn is not None:
-            early = self._needs_own_row(self._clock()) and not self._own_alone
-            return 0.0 if early else self._pace.turn_at
         if self._urgent:
             return 0.0
         heartbeat_at = self._committed_at + self._times.heartbeat
@@ -433,15 +434,11 @@
 
     async def _commit_once(self) -> None:
         now = self._clock()
-        early = self._pace.is_early(now)
-        self._own_alone = early or (self._needs_own_row(now) and not self._own_alone)
+        self._own_alone = self._needs_own_row(now) and not self._own_alone
         request = self._own_request() if self._own_alone else self._request(now)
         self._urgent = False
-        turn = self._pace.turn
         try:
-            result = await self._journal.commit(
-                request, now, self._pace.most_budgets, turn and turn.group
-            )
+            result = await self._journal.commit(request, now, self._most_budgets)
         except PlatformError as error:
             self._failed()
             self._urgent = True
@@ -449,14 +446,17 @@
             await self._pause()
             return
         self._reached()
-        if result is not CommitResult.CONFLICT:
-            self._committed(request, result, now)
-            return
-        self.conflicts += 1
-        self._urgent = True
-        self._pace.conflicted(self._clock())
-        if self._pace.turn is None:
+        if result is CommitResult.CONFLICT:
+            self.conflicts += 1
+            self._contended = True
+            self._failures += 1
+            self._most_budgets = max(1, self._most_budgets // 2)
+            if self._most_budgets == 1:
+                self._settle_factor = min(MAX_SETTLE_FACTOR, self._settle_factor * 2)
+            self._urgent = True
             await self._pause()
+            return
+        self._committed(request, result, now)
 
     def _committed(self, request: Request, result: CommitResult, now: float) -> None:
         committed = result is CommitResult.COMMITTED
@@ -466,7 +466,10 @@
             self._serve_waiters()
             self._urgent = len(self._waiters) > 0
             return
-        self._pace.succeeded(self._clock(), wrote=committed)
+        self._failures = 0
+        self._contended = False
+        if committed:
+            self._most_budgets = min(MAX_TRANSACTION_WRITES, self._most_budgets * 2)
         if self._journal.partial:
             self._serve_waiters()
             self._urgent = len(self._waiters) > 0
@@ -481,7 +484,9 @@
         for sidecar in request.needs_by_sidecar:
             self._prepared.pop(sidecar, None)
         if request.settle:
-            self._settle_at = now + self._pace.settle_seconds(self._times.settle)
+            self._settle_factor = max(1.0, self._settle_factor * 0.9)
+            jitter = self._rng.uniform(0.75, 1.25)
+            self._settle_at = now + self._times.settle * self._settle_factor * jitter
             if committed and self._more_than_a_batch():
                 self._settle_at = now
         self._serve_waiters()
@@ -490,7 +495,7 @@
             self._short_until[budget] = now + self._times.poll
 
     def _failed(self) -> None:
-        self._pace.failures += 1
+        self._failures += 1
         if not self.platform_out:
             self.platform_out = True
             self.on_platform(True)
@@ -504,4 +509,5 @@
         return len(self.book.unsettled_by_attempt) >= self._journal.batch_bills
 
     async def _pause(self) -> None:
-        await asyncio.sleep(self._pace.pause_seconds())
+        limit = min(MAX_BACKOFF_SECONDS, BACKOFF_SECONDS * 2 ** min(self._failures, 10))
+        await asyncio.sleep(self._rng.uniform(0, limit))
--- a/bluebellshore/budget/journal.py
+++ b/bluebellshore/budget/journal.py
@@ -21,7 +21,6 @@
     encode_row,
     incarnation_key,
 )
-from bluebellshore.budget.turns import group_of
 from bluebellshore.errors import (
     PlatformError,
     PlatformUnavailableError,
@@ -109,22 +108,15 @@
             pass  # an earlier try of ours: incarnation ids are never reused
 
     async def commit(
-        self,
-        request: Request,
-        now: float,
-        most_budgets: int = MAX_TRANSACTION_WRITES,
-        group: int | None = None,
+        self, request: Request, now: float, most_budgets: int = MAX_TRANSACTION_WRITES
     ) -> CommitResult:
         """Try once to commit what is due.
 
         :param most_budgets: budgets that the transaction may touch.
-        :param group: the only group of budgets that it may touch; None for any.
         :raises PlatformError: the answer is open; a later commit resolves it.
         """
         named = self._composer.budgets(request, now)
         budgets = self._composer.choose(named, request, most_budgets)
-        if group is not None:
-            budgets = [budget for budget in named if group_of(budget) == group]
         self.partial = len(budgets) < len(named)
         own_key = incarnation_key(self._incarnation)
         rows = await self._table.read([own_key, *map(budget_key, budgets)])
--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -18,7 +18,6 @@
     encode_row,
     incarnation_key,
 )
-from bluebellshore.budget.turns import Turn, group_of
 from bluebellshore.errors import TransactionConflictError
 from bluebellshore.ids import BudgetId, Epoch, IncarnationId, InstanceId, Tokens
 from bluebellshore.store.interface import (
@@ -63,7 +62,6 @@
     :param store_time: the store's time, as an answer to this process told it.
     :param rng: source of jitter.
     :param started_at: monotonic time at which this process was there already.
-    :param next_turn: when to go on after a conflict; None for a random pause.
     """
 
     def __init__(
@@ -74,9 +72,7 @@
         store_time: Callable[[], StoreTime | None] = lambda: None,
         rng: random.Random | None = None,
         started_at: float = math.inf,
-        next_turn: Callable[[], Turn | None] = lambda: None,
     ):
-        self._next_turn = next_turn
         self._started_at = started_at
         self._rng = rng or random.Random()
         self._store_time = store_time
@@ -120,42 +116,24 @@
 
     async def _recover(self, report: Recovered) -> None:
         size, pause = BATCH_BUDGETS, PAUSE_SECONDS
-        turn: Turn | None = None
-        done: set[BudgetId] = set()
         while True:
             try:
-                if await self._settle_some(report, size, turn, done):
+                if await self._settle_some(report, size):
                     return
                 pause = PAUSE_SECONDS
-                turn = turn and self._next_turn()
             except TransactionConflictError:  # the budgets' rows are busy
-                turn = self._next_turn()
-                if turn is None:
-                    size = max(1, size // 2)
-                    await asyncio.sleep(self._rng.uniform(0, pause))
-                    pause = min(MAX_PAUSE_SECONDS, pause * 2)
-            if turn is not None:
-                await asyncio.sleep(turn.wait_seconds)
-
-    async def _settle_some(
-        self, report: Recovered, size: int, turn: Turn | None, done: set[BudgetId]
-    ) -> bool:
-        """Settle some budgets. :return: whether nothing is left to do.
-
-        :param turn: whose group is settled; None for any budgets.
-        :param done: budgets dealt with, in which more are noted.
-        """
+                size = max(1, size // 2)
+                await asyncio.sleep(self._rng.uniform(0, pause))
+                pause = min(MAX_PAUSE_SECONDS, pause * 2)
+
+    async def _settle_some(self, report: Recovered, size: int) -> bool:
+        """Settle some budgets. :return: whether nothing is left to do."""
         key = incarnation_key(report.incarnation)
         row = (await self._table.read([key])).get(key)
         value = decode_row(row, IncarnationRow)
         if value is None:
             return True
-        named = [budget for budget in value.caps if budget not in done]
-        if turn is not None:
-            named = [b for b in named if group_of(b) == turn.group]
-            if not named and value.caps.keys() - done:
-                return False
-        budgets = await self._held(report.incarnation, named)
+        budgets = await self._held(report.incarnation, value)
         spent: dict[BudgetId, Tokens] = {}
         returned: dict[BudgetId, Tokens] = {}
         writes = []
@@ -165,17 +143,15 @@
             returned[budget] = Tokens(own.outstanding - spent[budget])
             held.settled = Tokens(held.settled + spent[budget])
             writes.append(Write(budget_row.key, budget_row.version, encode_row(held)))
-        dealt = {b for b in named if b in spent or b not in budgets}
-        finished = not value.caps.keys() - done - dealt
+        done = len(writes) == len(budgets)
         value.state = IncarnationState.FENCED
         value.epoch = Epoch(value.epoch + 1)
         value.recoveries += 1
-        own_write = Write(key, row.version, None if finished else encode_row(value))
+        own_write = Write(key, row.version, None if done else encode_row(value))
         await self._table.transact([own_write, *writes])
-        done |= dealt
         report.spent |= spent
         report.returned |= returned
-        return finished
+        return done
 
     def _spent_at_most(
         self, own: Allotment, budget: BudgetId, value: IncarnationRow
@@ -185,12 +161,12 @@
         return Tokens(min(own.outstanding, value.caps[budget]))
 
     async def _held(
-        self, incarnation: IncarnationId, budgets: list[BudgetId]
+        self, incarnation: IncarnationId, value: IncarnationRow
     ) -> dict[BudgetId, tuple[Row, BudgetRow]]:
-        """Return those of the rows in which the incarnation has an allotment."""
-        rows = await self._table.read([budget_key(budget) for budget in budgets])
+        """Return the rows in which the incarnation has an allotment."""
+        rows = await self._table.read([budget_key(budget) for budget in value.caps])
         held = {}
-        for budget in budgets:
+        for budget in value.caps:
             row = rows.get(budget_key(budget))
             budget_row = decode_row(row, BudgetRow)
             if budget_row is not None and incarnation in budget_row.allotments:
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -20,7 +20,6 @@
 from bluebellshore.budget.direct import DIRECT, DirectBook
 from bluebellshore.budget.predecessor import Predecessors
 from bluebellshore.budget.rows import BudgetRow, budget_key, decode_row
-from bluebellshore.budget.turns import Turns
 from bluebellshore.decisions import DecisionLog
 from bluebellshore.entry.budget_lines import BudgetLines
 from bluebellshore.entry.loans import (
@@ -131,12 +130,6 @@
         self._book = DirectBook(
             burn_window_seconds=BURN_WINDOW_SECONDS, store_time=store_time
         )
-        turns = Turns(
-            self.incarnation,
-            peers.reachable if peers else tuple,
-            store_time,
-            clock,
-        )
         self._accountant = Accountant(
             table,
             self.incarnation,
@@ -151,7 +144,6 @@
             rng=rng,
             book=self._book,
             keeps_ledger=False,
-            next_turn=turns.settling,
         )
         self._lines = BudgetLines(
             self._book,
@@ -172,13 +164,7 @@
             peers, self.incarnation, self._held_elsewhere, clock, self._lines.log
         )
         self._predecessors = Predecessors(
-            table,
-            self.incarnation,
-            instance_id,
-            store_time,
-            rng,
-            started_at,
-            turns.recovering,
+            table, self.incarnation, instance_id, store_time, rng, started_at
         )
         self._open_by_attempt: dict[str, _Open] = {}
         self._count = 0
