Bound a successor's beginning by the store's clock, with its own clock too quick

Cause: no test or model covered the shift from a successor's first answer of the store back to its beginning. Two cases were unsafe: the gate of a router allows for a clock up to 5 % too quick, the shift did not (60 s without the store: 3 s too early, more than the lapse); and the store's clock is told in whole milliseconds, so the bound could lie a millisecond too early. `StoreTime.latest_at` takes off the time lived divided by the drift, and adds one step of the store's clock.

Looked at and found safe: a process suspended between beginning and call (its clock does not count that: the bound comes later); frozen between call and answer, or before the answer is read; slow clocks; calls before the mark; no mark; two successors in a row, of which the second finds the rows of both, or what the first left.

spec/caps.py: mark, call and answer of the next life, drift and steps. The invariant is inductive; each of the five guards in place of `answer_of_this_life` has its counterexample.

The twin of tests/test_entry_budgets.py now gives answers the time of their call, and routers their beginning, so that the random traces run the shift too.

Assumed, not shown: the store's clock runs on in an outage; no process forks.

--- a/bluebellshore/budget/direct.py
+++ b/bluebellshore/budget/direct.py
@@ -6,7 +6,7 @@
 from bluebellshore.budget.book import AllotmentBook, Limits
 from bluebellshore.budget.policy import BURN_WINDOW_SECONDS
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
-from bluebellshore.store.interface import StoreTime
+from bluebellshore.store.interface import CLOCK_DRIFT, StoreTime
 
 __all__ = ["DIRECT", "DirectBook"]
 
@@ -16,8 +16,6 @@
 #: Time after the last contact with the store from which caps no longer hold. A process
 #: that is killed must be back within it, for its caps to spare tokens.
 LAPSE_SECONDS = 2.8
-#: By how much this process's clock may be quicker than the store's.
-CLOCK_DRIFT = 0.05
 #: Caps leave room for so many seconds of the present burn, or for a part of what is
 #: held, whichever is more.
 ROOM_SECONDS = 2.8
--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -91,8 +91,7 @@
         rows = await self._rows()
         if self._died_before is None and (seen := self._store_time()):
             # The store's clock when this process began, at the latest.
-            lived = max(0.0, seen.asked_seconds - self._started_at)
-            self._died_before = seen.store_seconds - lived
+            self._died_before = seen.latest_at(self._started_at)
         for row in rows:
             value = decode_row(row, IncarnationRow)
             incarnation = IncarnationId(row.key.removeprefix(INCARNATION_PREFIX))
--- a/bluebellshore/store/interface.py
+++ b/bluebellshore/store/interface.py
@@ -10,6 +10,8 @@
 
 __all__ = [
     "ABSENT",
+    "CLOCK_DRIFT",
+    "CLOCK_STEP_SECONDS",
     "FeedingTable",
     "Instance",
     "InstanceList",
@@ -38,6 +40,13 @@
 MAX_KEY_BYTES = 200
 
 
+#: By how much a process's monotonic clock may be quicker than the store's. It may be
+#: slower by any amount: it stands still while its machine is suspended.
+CLOCK_DRIFT = 0.05
+#: Steps in which the store tells its clock; whether it rounds up or down is open.
+CLOCK_STEP_SECONDS = 0.001
+
+
 class Row(msgspec.Struct, frozen=True):
     """A row of the table service.
 
@@ -62,6 +71,14 @@
     local_seconds: float
     asked_seconds: float
 
+    def latest_at(self, local_seconds: float) -> float:
+        """Return what the store's clock showed at an earlier local time, at most.
+
+        The local clock may have run too fast since, or stood still.
+        """
+        since = max(0.0, self.asked_seconds - local_seconds)
+        return self.store_seconds + CLOCK_STEP_SECONDS - since / (1 + CLOCK_DRIFT)
+
 
 class Write(msgspec.Struct, frozen=True):
     """One conditional write of a transaction.
--- a/spec/caps.py
+++ b/spec/caps.py
@@ -4,8 +4,14 @@
 ``IncarnationRow`` (seen, cap) and two unanswered transactions of the journal. ``seen``
 is the store's time in the newest answer, ``answered`` the time at which that came.
 Time is one clock: the router's may only be slower, which lets its gate open later.
-A late landing may follow the death. What is held is fixed; grants are the matter of
-``spec.allotment``.
+The store tells it in steps: up to ``bias`` later than it is, else earlier, by less than
+``step`` in all. A late landing may follow the death. What is held is fixed; grants are
+the matter of ``spec.allotment``.
+
+The next life (``Predecessors``, ``StoreTime.latest_at``) marks when it began, asks the
+store, and takes off what it was told the time it had lived when it asked, by its own
+clock. That may be quicker by 1/DRIFT_PARTS, and slower by any amount. Mark and call
+may come in any order. ``began`` is its bound on the store's time of the mark.
 
 Ghosts: ``died_at`` and ``counted``, what the next life counts as spent.
 """
@@ -17,6 +23,8 @@
 __all__ = ["MODEL"]
 
 SLOTS = (1, 2)
+#: A clock of the next life shows up to DRIFT_PARTS + 1 for each DRIFT_PARTS units.
+DRIFT_PARTS = 20
 
 INTEGERS = [
     "lapse",
@@ -29,18 +37,24 @@
     "used",
     "row_seen",
     "row_cap",
+    "step",
+    "bias",
     "died_at",
-    "told",
+    "marked_at",
+    "asked_at",
+    "began",
     "counted",
     *(f"{name}_{i}" for i in SLOTS for name in ("seen", "cap")),
 ]
 BOOLEANS = [
     "dead",
-    "started",
+    "marked",
+    "asked",
+    "told",
     "recovered",
     *(f"{name}_{i}" for i in SLOTS for name in ("open", "current", "landed")),
 ]
-END = ["die", "start", "recover"]
+END = ["die", "mark", "ask", "tell", "recover"]
 CAPPED = ["compose_1", "land_1", "apply_1"]
 GUARDS = {
     "reserve_within_held": ["tick", "reserve", *END],
@@ -57,7 +71,11 @@
     "compose_after_resolve": [
         *("compose_1", "land_1", "compose_2", "land_2", "apply_1", "reserve", *END),
     ],
-    "answer_of_this_life": ["tick", "reserve", *END],
+    "marked_by_this_life": ["mark", "tick", "reserve", "die", *END[2:]],
+    "asked_by_this_life": ["ask", "tick", "reserve", "die", "mark", *END[3:]],
+    "lived_until_asked": ["tick", "reserve", *END[:3], "tick", *END[3:]],
+    "drift_taken_off": ["tick", "reserve", *END[:2], "tick", *END[2:]],
+    "step_added": ["tick", "reserve", *END],
     "lapsed_counts_all": ["tick", "reserve", *END],
 }
 
@@ -67,10 +85,11 @@
 
 
 def _initial(s) -> list:
-    free = {"lapse", "held", "gate"}
+    free = {"lapse", "held", "gate", "step", "bias"}
     zero = [getattr(s, name) == 0 for name in INTEGERS if name not in free]
     none = [z3.Not(getattr(s, name)) for name in BOOLEANS]
-    return [*zero, *none, s.lapse > 0, s.held >= 0, s.gate == s.lapse]
+    clock = [0 <= s.bias, s.bias <= s.step]
+    return [*zero, *none, *clock, s.lapse > 0, s.held >= 0, s.gate == s.lapse]
 
 
 def _slot(s, n, f, i: int) -> list[Action]:
@@ -137,7 +156,7 @@
             "answer",
             {},
             {"seen": n[0], "answered": s.now},
-            [live, s.seen <= n[0], n[0] <= s.now],
+            [live, s.seen <= n[0], n[0] <= s.now + s.bias],
         ),
         Action(
             "reserve",
@@ -151,24 +170,55 @@
         Action("release", {}, {"used": s.used - n[0]}, [live, n[0] <= s.used]),
         Action("die", {}, {"dead": z3.BoolVal(True), "died_at": s.now}, [live]),
         Action(
-            "start",
-            {"answer_of_this_life": n[0] >= s.died_at},
-            {"started": z3.BoolVal(True), "told": n[0]},
-            [s.dead, z3.Not(s.started), n[0] <= s.now],
+            "mark",
+            {"marked_by_this_life": s.dead},
+            {"marked": z3.BoolVal(True), "marked_at": s.now},
+            [z3.Not(s.marked)],
         ),
+        Action(
+            "ask",
+            {"asked_by_this_life": s.dead},
+            {"asked": z3.BoolVal(True), "asked_at": s.now},
+            [z3.Not(s.asked)],
+        ),
+        _tell(s, *n),
         Action(
             "recover",
-            {"lapsed_counts_all": z3.Implies(f[0], s.told - s.row_seen < s.lapse)},
+            {"lapsed_counts_all": z3.Implies(f[0], s.began - s.row_seen < s.lapse)},
             {
                 "counted": whole,
                 "recovered": z3.BoolVal(True),
                 **{f"current_{i}": z3.BoolVal(False) for i in SLOTS},
             },
-            [s.started, z3.Not(s.recovered)],
+            [s.told, z3.Not(s.recovered)],
         ),
     ]
 
 
+def _tell(s, shown, added, measured, lived) -> Action:
+    """The answer comes: it shows a moment after the call."""
+
+    def shows(until):
+        """Whether the clock may have measured this since the mark."""
+        most = z3.If(until > s.marked_at, until - s.marked_at, 0)
+        return DRIFT_PARTS * measured <= (DRIFT_PARTS + 1) * most
+
+    return Action(
+        "tell",
+        {
+            "lived_until_asked": shows(s.asked_at),
+            "drift_taken_off": (DRIFT_PARTS + 1) * lived <= DRIFT_PARTS * measured,
+            "step_added": added >= s.step,
+        },
+        {"told": z3.BoolVal(True), "began": shown + added - lived},
+        [
+            *(s.dead, s.marked, s.asked, z3.Not(s.told)),
+            *(shows(s.now), lived <= measured, lived <= shown + added),
+            *(shown > s.asked_at + s.bias - s.step, shown <= s.now + s.bias),
+        ],
+    )
+
+
 def _safety(s) -> dict:
     return {"spent_is_counted": z3.Implies(s.recovered, s.used <= s.counted)}
 
@@ -186,8 +236,8 @@
                 current,
                 z3.And(
                     s.cap <= cap,
-                    seen + s.lapse <= s.gate,
-                    z3.Or(s.used <= cap, last >= seen + s.lapse),
+                    seen + s.lapse <= s.gate + s.bias,
+                    z3.Or(s.used <= cap, last + s.bias >= seen + s.lapse),
                     *(z3.Not(_get(s, "landed", j)) for j in SLOTS),
                 ),
             ),
@@ -197,16 +247,23 @@
         **_safety(s),
         **slots,
         "not_negative": z3.And([getattr(s, name) >= 0 for name in INTEGERS]),
-        "order_of_times": z3.And(s.seen <= s.answered, s.answered <= s.now),
+        "order_of_times": z3.And(
+            s.seen <= s.answered + s.bias, s.answered <= s.now, s.bias <= s.step
+        ),
         "life": z3.And(
-            z3.Implies(s.started, z3.And(s.dead, s.died_at <= s.told)),
-            z3.Implies(s.recovered, s.started),
+            z3.Implies(s.marked, z3.And(s.dead, s.died_at <= s.marked_at)),
+            z3.Implies(s.asked, z3.And(s.dead, s.died_at <= s.asked_at)),
+            z3.Implies(s.told, s.died_at + s.bias <= s.began),
+            z3.Implies(s.told, s.dead),
+            z3.Implies(s.recovered, s.told),
             z3.Implies(s.dead, s.died_at <= s.now),
         ),
         "within_held": s.used <= s.held,
         "cap_in_row": s.cap <= s.row_cap,
-        "gate_after_row": s.row_seen + s.lapse <= s.gate,
-        "row_bounds_use": z3.Or(s.used <= s.row_cap, last >= s.row_seen + s.lapse),
+        "gate_after_row": s.row_seen + s.lapse <= s.gate + s.bias,
+        "row_bounds_use": z3.Or(
+            s.used <= s.row_cap, last + s.bias >= s.row_seen + s.lapse
+        ),
     }
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -144,6 +144,7 @@
 
 _ACCOUNTANT = "tests.test_budget_accountant.SettlementTest"
 _LIMITS = "tests.test_budget_limits.ManyBudgetsTest"
+_SUCCESSOR = "tests.test_budget_successor.SuccessorTest"
 _RECLAIM = "tests.test_budget_reclaim.ReclaimTest"
 _PAIRS = "tests.test_failures_pairs.PairsTest"
 _SIDECAR = "tests.test_sidecar_guards.SidecarGuardsTest"
@@ -739,6 +740,54 @@
         "tests.test_store_cache.ConflictTest"
         ".test_conflict_brings_all_rows_so_that_a_retry_makes_progress",
     ),
+    Mutant(
+        "successor-counts-until-the-answer",
+        "time that a life had lived when it asked the store",
+        "bluebellshore/store/interface.py",
+        "self.asked_seconds - local_seconds)",
+        "0.0)",
+        f"{_SUCCESSOR}.test_counts_until_it_began_though_its_first_answer_is_late",
+    ),
+    Mutant(
+        "successor-takes-off-the-answer's-way",
+        "end of the time lived at the call, not at its answer",
+        "bluebellshore/store/interface.py",
+        "self.asked_seconds - local_seconds)",
+        "self.local_seconds - local_seconds)",
+        f"{_SUCCESSOR}.test_time_for_an_answer_to_come_is_not_taken_off",
+    ),
+    Mutant(
+        "successor-trusts-its-clock",
+        "a quick clock of the process",
+        "bluebellshore/store/interface.py",
+        " - since / (1 + CLOCK_DRIFT)",
+        " - since",
+        f"{_SUCCESSOR}.test_quick_clock_makes_it_begin_no_earlier",
+    ),
+    Mutant(
+        "store-clock-taken-as-exact",
+        "step of the store's clock",
+        "bluebellshore/store/interface.py",
+        "self.store_seconds + CLOCK_STEP_SECONDS - since",
+        "self.store_seconds - since",
+        f"{_SUCCESSOR}.test_clock_told_in_steps_hides_no_part_of_the_lapse",
+    ),
+    Mutant(
+        "mark-after-the-call-taken-off",
+        "bound on the time lived: none before the mark",
+        "bluebellshore/store/interface.py",
+        "since = max(0.0, self.asked_seconds - local_seconds)",
+        "since = self.asked_seconds - local_seconds",
+        f"{_SUCCESSOR}.test_answer_asked_before_the_mark_counts_as_it_is",
+    ),
+    Mutant(
+        "row-of-the-future-believed",
+        "row that was seen after its router must have been dead",
+        "bluebellshore/budget/rows.py",
+        "return 0 <= store_seconds - self.seen_seconds <",
+        "return store_seconds - self.seen_seconds <",
+        f"{_SUCCESSOR}.test_row_from_after_the_beginning_counts_whole",
+    ),
     Mutant(
         "causeless-conflict-believed",
         "check of what a conflict shows",
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -52,25 +52,28 @@
         self.landings = []
         self.time = None
 
-    def _answered(self, store_seconds):
+    def _answered(self, store_seconds, asked_at):
         now = asyncio.get_running_loop().time()
-        self.time = StoreTime(store_seconds, now, now)
+        self.time = StoreTime(store_seconds, now, asked_at)
 
     async def read(self, keys):
+        asked_at = asyncio.get_running_loop().time()
         stamp = await self._reach("read")
         rows = await self.table.read(keys)
         await self.awake.wait()
-        self._answered(stamp)
+        self._answered(stamp, asked_at)
         return rows
 
     async def scan(self, prefix, after="", limit=1000):
+        asked_at = asyncio.get_running_loop().time()
         stamp = await self._reach("scan")
         rows = await self.table.scan(prefix, after, limit)
         await self.awake.wait()
-        self._answered(stamp)
+        self._answered(stamp, asked_at)
         return rows
 
     async def transact(self, writes):
+        asked_at = asyncio.get_running_loop().time()
         await self._reach("transact")
         if self.conflict_next:
             self.conflict_next -= 1
@@ -89,7 +92,7 @@
             raise versions
         if self._happens("lose"):
             raise PlatformUnavailableError("answer lost", step="transact")
-        self._answered(stamp)
+        self._answered(stamp, asked_at)
         return versions
 
     def _happens(self, fault):
@@ -198,6 +201,7 @@
             incarnation=f"{name}.{self.lives}",
             peers=self.peers[name] if self.loans else None,
             store_time=(lambda: client.time) if self.caps else lambda: None,
+            started_at=asyncio.get_running_loop().time(),
         )
         self.clients[name], self.routers[name] = client, router
         await router.open()
