Let caps grow with the time since the last contact, in place of room for a whole lapse

The successors began 0.6 to 1.8 s after the row.

Now a cap leaves 0.3 s of burn, or 3 % of what is held, and grows from the contact on that the row tells: by 1.05 burns and 3 % of what is held a second. A successor counts what the cap had grown to when it began. The own row is written each 0.25 s (slower from 20 routers on), which keeps that time short and lowers caps with the load.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -69,6 +69,7 @@
     :param rng: source of jitter.
     :param book: where the tokens are kept; new when left out.
     :param keeps_ledger: whether bills are written, not their sums alone.
+    :param refresh_seconds: longest time that limits in the incarnation's row stand.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         rng: random.Random | None = None,
         book: AllotmentBook | None = None,
         keeps_ledger: bool = True,
+        refresh_seconds: Callable[[], float] = lambda: math.inf,
     ):
         #: Called when the platform gives no answer (True) and when it does again.
         self.on_platform: Callable[[bool], None] = lambda out: None
@@ -96,6 +98,7 @@
         self._prepaid = prepaid
         self._clock = clock
         self._times = times or AccountantTimes()
+        self._refresh_seconds = refresh_seconds
         self._rng = rng or random.Random()
         self._journal = Journal(
             table,
@@ -376,6 +379,7 @@
             attended=frozenset(attended),
             settle=bool(self.book.unsettled_by_attempt) and now >= self._settle_at,
             heartbeat=now >= self._committed_at + self._times.heartbeat,
+            refresh=now >= self._committed_at + self._refresh_seconds(),
             closing=self._closing,
         )
 
@@ -399,8 +403,8 @@
         """Return when the next commit is due."""
         if self._urgent:
             return 0.0
-        heartbeat_at = self._committed_at + self._times.heartbeat
-        due = min(heartbeat_at, self._looked_at + self._times.look)
+        written = min(self._times.heartbeat, self._refresh_seconds())
+        due = min(self._committed_at + written, self._looked_at + self._times.look)
         if self.book.unsettled_by_attempt:
             due = min(due, self._settle_at)
         for waiter in self._waiters:
--- a/bluebellshore/budget/book.py
+++ b/bluebellshore/budget/book.py
@@ -69,11 +69,15 @@
 
     :param billed: tokens, by budget, that the row's transaction settles; in doubt
         whether it stands they are unsettled still.
+    :param growth: tokens a second by which each cap grows.
+    :param since: local time from which caps grow.
     """
 
     sidecars: list[IncarnationId]
     caps: dict[BudgetId, Tokens]
     billed: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
+    growth: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
+    since: float = 0.0
 
 
 class AllotmentBook:
--- a/bluebellshore/budget/composer.py
+++ b/bluebellshore/budget/composer.py
@@ -73,6 +73,7 @@
     :param attended: budgets to look at, for grants and returns that are due.
     :param settle: bills are due.
     :param heartbeat: write even when there is nothing else.
+    :param refresh: write the incarnation's own row at least.
     :param closing: return all that is free and close the row when nothing is open.
     """
 
@@ -81,6 +82,7 @@
     attended: frozenset[BudgetId] = frozenset()
     settle: bool = False
     heartbeat: bool = False
+    refresh: bool = False
     closing: bool = False
 
 
@@ -226,6 +228,7 @@
             or transaction.bills
             or resolving
             or request.heartbeat
+            or request.refresh
             or request.closing
             or (changed and request.needs_by_sidecar)
         ):
@@ -369,6 +372,7 @@
             limits = Limits([], {})
         transaction.limits = limits
         row.sidecars, row.caps = limits.sidecars, limits.caps
+        row.growth = limits.growth
         row.seen_seconds, row.lapse_seconds = self._book.lapse()
         own_key = incarnation_key(self._incarnation)
         own = Write(own_key, transaction.expect, encode_row(row))
--- a/bluebellshore/budget/direct.py
+++ b/bluebellshore/budget/direct.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from bluebellshore.budget.book import AllotmentBook, Limits
 from bluebellshore.budget.policy import BURN_WINDOW_SECONDS
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
@@ -16,20 +18,48 @@
 #: Time after the last contact with the store from which caps no longer hold. A process
 #: that is killed must be back within it, for its caps to spare tokens.
 LAPSE_SECONDS = 2.8
-#: Caps leave room for so many seconds of the present burn, or for a part of what is
-#: held, whichever is more.
-ROOM_SECONDS = 2.8
-ROOM_SHARE = 0.04
+#: Room that caps leave, in seconds of the present burn, or as a part of what is held,
+#: whichever is more. It serves until the next transaction, which raises them.
+ROOM_SECONDS = 0.3
+ROOM_SHARE = 0.03
+#: While the store is out caps grow each second by so many seconds of the present burn,
+#: so that its load is served, and by a part of what is held, for changes of the load.
+GROWTH_BURNS = 1.05
+GROWTH_SHARE = 0.03
+
+
+class _Line(msgspec.Struct, frozen=True):
+    """A cap over time.
+
+    :param cap: tokens at `since`, by the local clock.
+    :param rate: tokens a second by which it grows.
+    """
+
+    cap: Tokens = Tokens(0)
+    rate: Tokens = Tokens(0)
+    since: float = 0.0
+
+    def at(self, now: float) -> Tokens:
+        """Return the cap at a later time, by a local clock that may be quick."""
+        grown = self.rate * max(0.0, now - self.since) / (1 + CLOCK_DRIFT)
+        return Tokens(self.cap + int(grown))
+
+    def lower_of(self, other: "_Line") -> "_Line":
+        """Return a line that is above neither."""
+        since = max(self.since, other.since)
+        cap = min(self.at(since), other.at(since))
+        return _Line(cap, min(self.rate, other.rate), since)
 
 
 class DirectBook(AllotmentBook):
     """Book with caps that hold only while the store is within reach.
 
     Caps bound what a killed router may have spent without a bill. While the store is
-    out they can't be raised, so from `lapse_seconds` after the last contact with it
-    the whole allotment may be spent. A successor that starts sooner after that
-    contact, by the store's clock, knows that the caps held; a later one must count
-    the whole allotment. Without the store's time, caps are never below what is held.
+    out they can't be raised, so they grow by themselves with the time since the last
+    contact, and from `lapse_seconds` after it the whole allotment may be spent. A
+    successor that starts sooner after that contact, by the store's clock, counts what
+    the caps had grown to by then; a later one must count the whole allotment. Without
+    the store's time, caps are never below what is held.
 
     :param store_time: newest time told by the store, with the local time of `now`.
     """
@@ -45,6 +75,7 @@
         self._store_time = store_time
         self._lapse_seconds = lapse_seconds
         self._lapses_at = math.inf
+        self._lines_by_budget: dict[BudgetId, _Line] = {}
         self._now = -math.inf
 
     def lists(self, sidecar: IncarnationId) -> bool:
@@ -58,7 +89,8 @@
         if self._now > self._lapses_at:
             return True
         account = self.account(budget)
-        return account.reserved + account.unsettled + tokens <= account.cap
+        cap = self.cap(budget, self._now)
+        return account.reserved + account.unsettled + tokens <= cap
 
     def reserve(
         self,
@@ -72,6 +104,10 @@
         self._now = now
         return super().reserve(budget, attempt, sidecar, tokens, now)
 
+    def cap(self, budget: BudgetId, now: float) -> Tokens:
+        """Return what the cap of a budget has grown to."""
+        return self._line(budget).at(now)
+
     def available(self, budget: BudgetId, now: float) -> Tokens:
         """Return how much could be reserved."""
         account = self.accounts_by_budget.get(budget)
@@ -79,7 +115,7 @@
             return Tokens(0)
         if now > self._lapses_at:
             return Tokens(max(0, account.free))
-        room = account.cap - account.reserved - account.unsettled
+        room = self.cap(budget, now) - account.reserved - account.unsettled
         return Tokens(max(0, min(account.free, room)))
 
     def desired_limits(
@@ -92,17 +128,43 @@
         """Return caps with room for what may come before the next transaction."""
         needs = needs_by_sidecar.get(DIRECT, {})
         billed = billed or {}
-        caps = {}
+        caps, growth = {}, {}
+        seen = self._store_time()
         for budget, account in self.accounts_by_budget.items():
             held = account.outstanding + grants.get(budget, 0)
-            if self._store_time() is None:
+            if seen is None:
                 caps[budget] = Tokens(max(account.cap, held))
                 continue
             held -= billed.get(budget, 0)
             used = account.reserved + account.unsettled - billed.get(budget, 0)
-            room = max(ROOM_SECONDS * account.burn.rate(now), ROOM_SHARE * held)
+            burn = account.burn.rate(now)
+            room = max(ROOM_SECONDS * burn, ROOM_SHARE * held)
+            rate = GROWTH_BURNS * burn + GROWTH_SHARE * held
+            growth[budget] = Tokens(math.ceil(rate))
             caps[budget] = Tokens(min(held, int(used + needs.get(budget, 0) + room)))
-        return Limits([DIRECT], caps, billed)
+        since = seen.local_seconds if seen else 0.0
+        return Limits([DIRECT], caps, billed, growth, since)
+
+    def lower_limits(self, limits: Limits) -> None:
+        """Heed stricter limits before the row has them, whichever row stands."""
+        for budget in self.accounts_by_budget:
+            lower = limits.caps.get(budget, 0) + limits.billed.get(budget, 0)
+            new = _Line(Tokens(lower), limits.growth.get(budget, 0), limits.since)
+            self._draw(budget, self._line(budget).lower_of(new))
+
+    def raise_limits(self, limits: Limits) -> None:
+        """Use the limits that the row has."""
+        super().raise_limits(limits)
+        for budget, cap in limits.caps.items():
+            rate = limits.growth.get(budget, Tokens(0))
+            self._draw(budget, _Line(cap, rate, limits.since))
+
+    def _line(self, budget: BudgetId) -> _Line:
+        return self._lines_by_budget.get(budget, _Line())
+
+    def _draw(self, budget: BudgetId, line: _Line) -> None:
+        self._lines_by_budget[budget] = line
+        self.account(budget).cap = line.cap
 
     def lapse(self) -> tuple[float, float]:
         """Return the store's time for a row, and how long its caps hold from there.
--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -157,7 +157,7 @@
     ) -> Tokens:
         if not value.caps_hold(self._died_before):
             return own.outstanding
-        return Tokens(min(own.outstanding, value.caps[budget]))
+        return min(own.outstanding, value.cap_at(budget, self._died_before))
 
     async def _held(
         self, incarnation: IncarnationId, value: IncarnationRow
--- a/bluebellshore/budget/rows.py
+++ b/bluebellshore/budget/rows.py
@@ -1,5 +1,6 @@
 """Rows that budgets keep in the table service."""
 
+import math
 from enum import Enum
 from typing import TypeVar
 
@@ -93,8 +94,9 @@
     :param caps: bounds, by budget, on the unsettled tokens at any one sidecar. Has
         each budget in whose row the incarnation may have an allotment.
     :param seen_seconds: the store's time at some moment before this was written.
+    :param growth: tokens a second by which each cap grows from that moment on.
     :param lapse_seconds: the caps may be exceeded from this long after that moment;
-        0 when they always hold.
+        0 when they always hold and never grow.
     :param recoveries: transactions of reclaimers; these leave `sequence` alone, by
         which the router recognizes its own.
     """
@@ -106,6 +108,7 @@
     sidecars: list[IncarnationId] = msgspec.field(default_factory=list)
     caps: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
     seen_seconds: float = 0.0
+    growth: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
     lapse_seconds: float = 0.0
     recoveries: int = 0
 
@@ -117,6 +120,12 @@
             return False
         return 0 <= store_seconds - self.seen_seconds < self.lapse_seconds
 
+    def cap_at(self, budget: BudgetId, store_seconds: float | None) -> Tokens:
+        """Return a cap that holds, as it was at that time at the latest."""
+        since = 0.0 if store_seconds is None else store_seconds - self.seen_seconds
+        grown = math.ceil(self.growth.get(budget, 0) * since)
+        return Tokens(self.caps[budget] + grown)
+
 
 class Bill(msgspec.Struct, frozen=True):
     """One billed request."""
--- a/bluebellshore/entry/budget_lines.py
+++ b/bluebellshore/entry/budget_lines.py
@@ -74,7 +74,7 @@
             "balance": account.free,
             "reserved": account.reserved,
             "unsettled": account.unsettled,
-            "cap": account.cap,
+            "cap": self._book.cap(budget, self._clock()),
             "waited_seconds": waited_seconds,
             "store_lost": self._accountant.platform_out,
         }
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -52,6 +52,11 @@
 TIMES = AccountantTimes(
     settle=0.6, heartbeat=1.0, poll=0.1, look=1.0, cover=float("inf"), close=2.0
 )
+#: Longest time that the caps in this router's row stand while the store answers: a
+#: successor counts what they may have grown by since.
+REFRESH_SECONDS = 0.25
+#: The same for each router known, so that the store bears all of them together.
+ROUTER_REFRESH_SECONDS = 0.0125
 #: Pause after a failure, before predecessors or budgets are tried again.
 RECOVER_SECONDS = 0.3
 #: Interval at which new customers are looked for.
@@ -130,20 +135,23 @@
         self._book = DirectBook(
             burn_window_seconds=BURN_WINDOW_SECONDS, store_time=store_time
         )
+
+        def routers() -> int:
+            return 1 + (len(peers.reachable()) if peers else 0)
+
         self._accountant = Accountant(
             table,
             self.incarnation,
-            policy
-            or StandbyPolicy(
-                horizon_seconds,
-                routers=lambda: 1 + (len(peers.reachable()) if peers else 0),
-            ),
+            policy or StandbyPolicy(horizon_seconds, routers=routers),
             prepaid=lambda budget: prepaid(CustomerId(budget)),
             clock=clock,
             times=times,
             rng=rng,
             book=self._book,
             keeps_ledger=False,
+            refresh_seconds=lambda: max(
+                REFRESH_SECONDS, routers() * ROUTER_REFRESH_SECONDS
+            ),
         )
         self._lines = BudgetLines(
             self._book,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -145,6 +145,7 @@
 _ACCOUNTANT = "tests.test_budget_accountant.SettlementTest"
 _LIMITS = "tests.test_budget_limits.ManyBudgetsTest"
 _SUCCESSOR = "tests.test_budget_successor.SuccessorTest"
+_GROWTH = "tests.test_budget_successor.GrowthTest"
 _RECLAIM = "tests.test_budget_reclaim.ReclaimTest"
 _PAIRS = "tests.test_failures_pairs.PairsTest"
 _SIDECAR = "tests.test_sidecar_guards.SidecarGuardsTest"
@@ -788,6 +789,46 @@
         "return store_seconds - self.seen_seconds <",
         f"{_SUCCESSOR}.test_row_from_after_the_beginning_counts_whole",
     ),
+    Mutant(
+        "growth-not-counted",
+        "what a dead router's cap grew by",
+        "bluebellshore/budget/rows.py",
+        "return Tokens(self.caps[budget] + grown)",
+        "return self.caps[budget]",
+        f"{_GROWTH}.test_no_death_is_counted_below_what_was_spent",
+    ),
+    Mutant(
+        "growth-by-a-quick-clock",
+        "quick clock of the router whose cap grows",
+        "bluebellshore/budget/direct.py",
+        "max(0.0, now - self.since) / (1 + CLOCK_DRIFT)",
+        "max(0.0, now - self.since)",
+        f"{_GROWTH}.test_quick_clock_lets_the_cap_grow_no_faster",
+    ),
+    Mutant(
+        "growth-of-the-newest-row",
+        "slower growth of a row that may stand",
+        "bluebellshore/budget/direct.py",
+        "return _Line(cap, min(self.rate, other.rate), since)",
+        "return _Line(cap, other.rate, since)",
+        f"{_GROWTH}.test_in_doubt_the_lower_line_holds_at_each_time",
+    ),
+    Mutant(
+        "cap-of-the-newest-row",
+        "lower cap of a row that may stand",
+        "bluebellshore/budget/direct.py",
+        "cap = min(self.at(since), other.at(since))",
+        "cap = other.at(since)",
+        f"{_GROWTH}.test_in_doubt_the_lower_line_holds_at_each_time",
+    ),
+    Mutant(
+        "row-not-refreshed",
+        "writes of the incarnation's row that keep its caps fresh",
+        "bluebellshore/budget/composer.py",
+        "            or request.refresh\n",
+        "",
+        "tests.test_entry_budgets.CapsTest.test_row_tells_the_time_of_a_recent_contact",
+    ),
     Mutant(
         "causeless-conflict-believed",
         "check of what a conflict shows",
