--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -69,6 +69,7 @@
     :param rng: source of jitter.
     :param book: where the tokens are kept; new when left out.
     :param keeps_ledger: whether bills are written, not their sums alone.
+    :param refresh_seconds: longest time that limits in the incarnation's row stand.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         rng: random.Random | None = None,
         book: AllotmentBook | None = None,
         keeps_ledger: bool = True,
+        refresh_seconds: Callable[[], float] = lambda: math.inf,
     ):
         #: Called when the platform gives no answer (True) and when it does again.
         self.on_platform: Callable[[bool], None] = lambda out: None
@@ -96,6 +98,7 @@
         self._prepaid = prepaid
         self._clock = clock
         self._times = times or AccountantTimes()
+        self._refresh_seconds = refresh_seconds
         self._rng = rng or random.Random()
         self._journal = Journal(
             table,
@@ -380,6 +383,7 @@
             attended=frozenset(attended),
             settle=bool(self.book.unsettled_by_attempt) and now >= self._settle_at,
             heartbeat=now >= self._committed_at + self._times.heartbeat,
+            refresh=now >= self._committed_at + self._refresh_seconds(),
             closing=self._closing,
         )
 
@@ -388,7 +392,7 @@
         return Request(
             demands_by_budget={},
             needs_by_sidecar=self._waiters.needs_by_sidecar(),
-            alone=self._beats_alone,
+            refresh=self._beats_alone,
         )
 
     def _needs_own_row(self, now: float) -> bool:
@@ -399,8 +403,7 @@
         """
         if self._closing:
             return False
-        late = now >= self._committed_at + self._times.heartbeat
-        if self._beats_alone and self._contended and late:
+        if self._beats_alone and self._contended and now >= self._row_due_at():
             return True
         return any(
             self.book.account(waiter.budget).free >= waiter.tokens
@@ -411,14 +414,18 @@
         """Return when the next commit is due."""
         if self._urgent:
             return 0.0
-        heartbeat_at = self._committed_at + self._times.heartbeat
-        due = min(heartbeat_at, self._looked_at + self._times.look)
+        due = min(self._row_due_at(), self._looked_at + self._times.look)
         if self.book.unsettled_by_attempt:
             due = min(due, self._settle_at)
         for waiter in self._waiters:
             due = min(due, self._short_until.get(waiter.budget, 0.0))
         return due
 
+    def _row_due_at(self) -> float:
+        """Return when the own row is to be written, whatever else there is."""
+        written = min(self._times.heartbeat, self._refresh_seconds())
+        return self._committed_at + written
+
     async def _sleep_until_due(self) -> None:
         try:
             async with asyncio.timeout(max(0.0, self._due() - self._clock())):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -145,6 +145,8 @@
 
 _ACCOUNTANT = "tests.test_budget_accountant.SettlementTest"
 _LIMITS = "tests.test_budget_limits.ManyBudgetsTest"
+_SUCCESSOR = "tests.test_budget_successor.SuccessorTest"
+_GROWTH = "tests.test_budget_successor.GrowthTest"
 _RECLAIM = "tests.test_budget_reclaim.ReclaimTest"
 _PAIRS = "tests.test_failures_pairs.PairsTest"
 _SIDECAR = "tests.test_sidecar_guards.SidecarGuardsTest"
@@ -740,6 +742,94 @@
         "tests.test_store_cache.ConflictTest"
         ".test_conflict_brings_all_rows_so_that_a_retry_makes_progress",
     ),
+    Mutant(
+        "successor-counts-until-the-answer",
+        "time that a life had lived when it asked the store",
+        "bluebellshore/store/interface.py",
+        "self.asked_seconds - local_seconds)",
+        "0.0)",
+        f"{_SUCCESSOR}.test_counts_until_it_began_though_its_first_answer_is_late",
+    ),
+    Mutant(
+        "successor-takes-off-the-answer's-way",
+        "end of the time lived at the call, not at its answer",
+        "bluebellshore/store/interface.py",
+        "self.asked_seconds - local_seconds)",
+        "self.local_seconds - local_seconds)",
+        f"{_SUCCESSOR}.test_time_for_an_answer_to_come_is_not_taken_off",
+    ),
+    Mutant(
+        "successor-trusts-its-clock",
+        "a quick clock of the process",
+        "bluebellshore/store/interface.py",
+        " - since / (1 + CLOCK_DRIFT)",
+        " - since",
+        f"{_SUCCESSOR}.test_quick_clock_makes_it_begin_no_earlier",
+    ),
+    Mutant(
+        "store-clock-taken-as-exact",
+        "step of the store's clock",
+        "bluebellshore/store/interface.py",
+        "self.store_seconds + CLOCK_STEP_SECONDS - since",
+        "self.store_seconds - since",
+        f"{_SUCCESSOR}.test_clock_told_in_steps_hides_no_part_of_the_lapse",
+    ),
+    Mutant(
+        "mark-after-the-call-taken-off",
+        "bound on the time lived: none before the mark",
+        "bluebellshore/store/interface.py",
+        "since = max(0.0, self.asked_seconds - local_seconds)",
+        "since = self.asked_seconds - local_seconds",
+        f"{_SUCCESSOR}.test_answer_asked_before_the_mark_counts_as_it_is",
+    ),
+    Mutant(
+        "row-of-the-future-believed",
+        "row that was seen after its router must have been dead",
+        "bluebellshore/budget/rows.py",
+        "return 0 <= store_seconds - self.seen_seconds <",
+        "return store_seconds - self.seen_seconds <",
+        f"{_SUCCESSOR}.test_row_from_after_the_beginning_counts_whole",
+    ),
+    Mutant(
+        "growth-not-counted",
+        "what a dead router's cap grew by",
+        "bluebellshore/budget/rows.py",
+        "return Tokens(self.caps[budget] + grown)",
+        "return self.caps[budget]",
+        f"{_GROWTH}.test_no_death_is_counted_below_what_was_spent",
+    ),
+    Mutant(
+        "growth-by-a-quick-clock",
+        "quick clock of the router whose cap grows",
+        "bluebellshore/budget/direct.py",
+        "max(0.0, now - self.since) / (1 + CLOCK_DRIFT)",
+        "max(0.0, now - self.since)",
+        f"{_GROWTH}.test_quick_clock_lets_the_cap_grow_no_faster",
+    ),
+    Mutant(
+        "growth-of-the-newest-row",
+        "slower growth of a row that may stand",
+        "bluebellshore/budget/direct.py",
+        "return _Line(cap, min(self.rate, other.rate), since)",
+        "return _Line(cap, other.rate, since)",
+        f"{_GROWTH}.test_in_doubt_the_lower_line_holds_at_each_time",
+    ),
+    Mutant(
+        "cap-of-the-newest-row",
+        "lower cap of a row that may stand",
+        "bluebellshore/budget/direct.py",
+        "cap = min(self.at(since), other.at(since))",
+        "cap = other.at(since)",
+        f"{_GROWTH}.test_in_doubt_the_lower_line_holds_at_each_time",
+    ),
+    Mutant(
+        "row-not-refreshed",
+        "writes of the incarnation's row that keep its caps fresh",
+        "bluebellshore/budget/composer.py",
+        "            or request.refresh\n",
+        "",
+        "tests.test_entry_budgets.CapsTest.test_row_tells_the_time_of_a_recent_contact",
+    ),
     Mutant(
         "causeless-conflict-believed",
         "check of what a conflict shows",
