--- a/spec/caps.py
+++ b/spec/caps.py
@@ -324,5 +324,13 @@
 
 
 MODEL = Model(
-    "caps", INTEGERS, BOOLEANS, _initial, _actions, _safety, _invariant, GUARDS
+    "caps",
+    INTEGERS,
+    BOOLEANS,
+    _initial,
+    _actions,
+    _safety,
+    _invariant,
+    GUARDS,
+    parameter_count=6,
 )
--- a/spec/model.py
+++ b/spec/model.py
@@ -11,7 +11,7 @@
 Formula = z3.BoolRef
 State = SimpleNamespace
 
-MAX_PARAMETERS = 6
+PARAMETERS = 4
 
 
 @dataclass
@@ -40,6 +40,7 @@
     :param guards: guards whose removal must break `safety`, each with the actions
         along which a counterexample is sought; z3 finds the amounts. Without
         actions all traces of up to `depth` steps are searched.
+    :param parameter_count: numbers, and flags, that a step may take.
     """
 
     name: str
@@ -51,6 +52,7 @@
     invariant: Callable[[State], dict[str, Formula]]
     guards: dict[str, list[str]]
     depth: int = 6
+    parameter_count: int = PARAMETERS
 
     def state(self, suffix: str) -> State:
         """Return fresh variables."""
@@ -60,8 +62,8 @@
 
     def parameters(self, suffix: str) -> tuple[list[z3.ArithRef], list[z3.BoolRef]]:
         """Return fresh parameters of a step."""
-        numbers = [z3.Int(f"n{i}_{suffix}") for i in range(MAX_PARAMETERS)]
-        flags = [z3.Bool(f"f{i}_{suffix}") for i in range(MAX_PARAMETERS)]
+        numbers = [z3.Int(f"n{i}_{suffix}") for i in range(self.parameter_count)]
+        flags = [z3.Bool(f"f{i}_{suffix}") for i in range(self.parameter_count)]
         return numbers, flags
 
     def transitions(
