Cut no request that comes while a stopping router tells the store

Cause: the router waits for its requests, then settles budgets and leaves the list, which takes seconds with a slow store; a request on a connection that was still open was taken meanwhile and cut when the connections closed. Now connections on which nothing is under way are closed after that, and the rest is waited for, up to the same last moment.

The test fails without the change (the connection is cut, the repeat finds no port).

--- a/bluebellshore/entry/connections.py
+++ b/bluebellshore/entry/connections.py
@@ -65,6 +65,11 @@
             self._next_began = False
             self._start_timer()
 
+    def close_idle(self) -> None:
+        """Close the connection unless a request or a part of one has come."""
+        if not self._busy and self._head_timer is None:
+            self.force_close()
+
     def data_received(self, data: bytes) -> None:
         """Read bytes; the first ones of a head begin its time."""
         if self._body is None or self._body.is_eof():
--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -90,6 +90,12 @@
         if self._listener is not None:
             self._listener.close()
 
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        if self._server is not None:
+            for connection in self._server.connections:
+                connection.close_idle()
+
     async def stop(self, seconds: float) -> None:
         """Close the connections that stand, after `seconds` at most."""
         if self._server is not None:
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -221,6 +221,10 @@
         except TimeoutError:
             # With the store out, tokens can't be returned: the successor does it.
             self._log.notice("stop", "the store took no leave", lost=self._watch.lost)
+        # Callers may have sent more on connections that were open meanwhile.
+        self._ingress.close_idle()
+        while self._ingress.active and loop.time() < last:
+            await asyncio.sleep(POLL_SECONDS)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -1,9 +1,11 @@
 """Tests of a whole entry router without its store: metrics, state, lines, stop."""
 
+import asyncio
 import unittest
 from unittest import mock
 
 import aiohttp
+from aiohttp import web
 
 from bluebellshore.decisions import DecisionLog
 from bluebellshore.entry import router
@@ -88,6 +90,38 @@
         self.assertEqual(stops, ["requests ended", "the store took no leave"])
         self.assertEqual(entry.snapshot()["active_requests"], 0)
 
+    async def test_request_that_comes_while_the_store_is_told_is_not_cut(self):
+        entry = router.EntryRouter(settings_without_store(stop_seconds=60.0))
+        began, told, gate = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def answer(request, sink):
+            began.set()
+            await gate.wait()
+            return web.Response(text="whole")
+
+        async def tell():
+            told.set()
+            await began.wait()
+
+        async with aiohttp.ClientSession() as session:
+            with mock.patch.object(router, "LEAVE_SECONDS", 0.0):
+                await entry.start()
+                entry._ingress._answer = answer
+                entry._budgets.close = tell
+                gate.set()
+                async with session.get(f"http://{entry.address}/open") as response:
+                    await response.read()
+                gate.clear()
+                began.clear()
+                stop = asyncio.create_task(entry.stop())
+                await told.wait()
+                late = asyncio.create_task(session.get(f"http://{entry.address}/late"))
+                await began.wait()
+                await asyncio.sleep(10 * router.POLL_SECONDS)
+                gate.set()
+                self.assertEqual(await (await late).text(), "whole")
+                await stop
+
 
 class PeerLinesTest(unittest.TestCase):
     def test_peer_is_lost_when_silent_and_regained_with_its_next_sign(self):
