--- a/bluebellshore/soak/checks.py
+++ b/bluebellshore/soak/checks.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
+from http import HTTPStatus
 
 import msgspec
 
@@ -29,6 +30,20 @@
 WORK_ENDS_SECONDS = 8.0
 
 
+#: What takes no router's contact with the store or with a backend server.
+_KEEPS_CONTACT = frozenset(
+    {
+        Action.SERVER_DRAIN,
+        Action.SERVER_CRASH,
+        Action.SERVER_SPOILS,
+        Action.CONFIGURATION,
+        Action.TOP_UP,
+        Action.ROUTER_RELOAD,
+        Action.ROUTER_SETTINGS,
+    }
+)
+
+
 class Broken(msgspec.Struct, frozen=True):
     """A promise that was broken.
 
@@ -71,6 +86,7 @@
     for sent in record.sent:
         broken += _check_runs(sent, by_attempt[sent.attempt_id])
         broken += _check_answer(sent)
+        broken += _check_head(sent, by_attempt[sent.attempt_id])
         broken += _check_stop(sent, by_attempt[sent.attempt_id], record.happened)
     broken += _check_arrivals(record.sent, record.arrivals)
     broken += _check_budget(record)
@@ -108,6 +124,12 @@
         yield Broken("whole answers", sent.attempt_id, problem, sent.router)
 
 
+def _check_head(sent: Sent, arrivals: Sequence[Arrival]) -> Iterable[Broken]:
+    """Callers here send heads whole, so that none is late."""
+    if sent.status == HTTPStatus.REQUEST_TIMEOUT and not arrivals:
+        yield Broken("heads are read", sent.attempt_id, "answered 408", sent.router)
+
+
 def _check_stop(
     sent: Sent, arrivals: Sequence[Arrival], happened: Sequence[Happened]
 ) -> Iterable[Broken]:
@@ -174,7 +196,7 @@
             for other in record.happened
             if other.began_at < seen.at
             and other.ended_at + CONTACT_SECONDS > left_at
-            and other.fault.action is not Action.SERVER_DRAIN
+            and other.fault.action not in _KEEPS_CONTACT
         ]
         late = seen.at - left_at
         if late > DRAIN_SECONDS and not disturbed:
