Let a route that got less than its due of a rollout's first share make up for it

Not the kills: draws gave the second route 10 of 82 requests, about a quarter were due, and 11.7 answers were wanted there; the rare route had 53. Nothing moved requests from one to the other, so results never sufficed and the order ran out.

Each route's weight now follows what it was due against what it got (four requests added to both against noise); answers wanted still follow the due part.

--- a/bluebellshore/rollouts/routes.py
+++ b/bluebellshore/rollouts/routes.py
@@ -22,6 +22,9 @@
 #: requests; above it rare ones get more, as they get few once the share is high.
 RARITY_POWER = 1.5
 MOST_SHARE = 0.6
+#: Requests added to what a route got and was due before the two are compared: by chance
+#: a route gets a few less or more, and what it lacks is made up for.
+DUE_EXTRA = 4
 #: Requests from which the routes' parts are known.
 LEAST_REQUESTS = 30
 
@@ -35,7 +38,7 @@
     if results.total() < LEAST_RESULTS:
         return False
     routes = [route for route in sent if sent[route] >= ROUTE_PART * sent.total()]
-    weights = route_weights(counts_by_key)
+    weights = _due_weights(sent)
     least, most = ROUTE_RESULTS
     for route in routes:
         part = weights.get(route, 1.0) * sent[route] / sent.total()
@@ -48,18 +51,21 @@
 def route_weights(counts_by_key: dict[Key, Counts]) -> dict[RouteName, float]:
     """Return the multiple of the share for each route.
 
-    All routes together get the share that is planned.
+    All routes together get the share that is planned, and one that got less than its
+    due makes up for it.
     """
     sent, _ = _by_route(counts_by_key)
-    total = sent.total()
-    if total < LEAST_REQUESTS:
+    weights = _due_weights(sent)
+    if not weights:
         return {}
-    mean = total / len(sent)
-    weights = {
-        route: min(MOST_WEIGHT, (mean / sent[route]) ** RARITY_POWER) for route in sent
-    }
-    taken = sum(weights[route] * sent[route] for route in sent) / total
-    return {route: weight / taken for route, weight in weights.items()}
+    tried: Counter[RouteName] = Counter()
+    for key, counts in counts_by_key.items():
+        if key.target:
+            tried[key.route] += counts.sent
+    for route in weights:
+        due = tried.total() * weights[route] * sent[route] / sent.total()
+        weights[route] *= (due + DUE_EXTRA) / (tried[route] + DUE_EXTRA)
+    return _scaled(weights, sent)
 
 
 def route_share(share: float, weight: float) -> float:
@@ -80,3 +86,22 @@
         if key.target:
             results[key.route] += counts.ended
     return sent, results
+
+
+def _due_weights(sent: Counter[RouteName]) -> dict[RouteName, float]:
+    """Return the weights that routes have by their rarity alone."""
+    if sent.total() < LEAST_REQUESTS:
+        return {}
+    mean = sent.total() / len(sent)
+    weights = {
+        route: min(MOST_WEIGHT, (mean / sent[route]) ** RARITY_POWER) for route in sent
+    }
+    return _scaled(weights, sent)
+
+
+def _scaled(
+    weights: dict[RouteName, float], sent: Counter[RouteName]
+) -> dict[RouteName, float]:
+    """Return weights with which all routes together get the share."""
+    taken = sum(weights[route] * sent[route] for route in weights) / sent.total()
+    return {route: weight / taken for route, weight in weights.items()}
--- a/tests/test_rollouts_routes.py
+++ b/tests/test_rollouts_routes.py
@@ -38,6 +38,17 @@
         total = sum(sent_by_route.values())
         return {route: weights[route] * sent_by_route[route] / total for route in RARE}
 
+    def test_route_that_got_less_than_its_due_makes_up_for_it(self) -> None:
+        """Draws gave one route 10 of 25 requests, and the rare one too many."""
+        tried = {"a": 19, "b": 10, "c": 53}
+        weights = route_weights(counts(RARE, tried))
+        due = route_weights(counts(RARE))
+        self.assertGreater(weights["b"], 1.5 * due["b"])
+        self.assertLess(weights["c"], due["c"])
+        sent = {route: RARE[route] + tried[route] for route in RARE}
+        taken = sum(weights[route] * sent[route] for route in sent)
+        self.assertAlmostEqual(taken / sum(sent.values()), 1.0)
+
     def test_all_routes_together_get_the_share(self) -> None:
         self.assertAlmostEqual(sum(self.parts(RARE).values()), 1.0)
 
@@ -62,6 +73,7 @@
 
     def test_few_requests_tell_no_parts(self) -> None:
         self.assertEqual(route_weights(counts({"a": 20, "b": 5})), {})
+        self.assertEqual(route_weights({}), {})
 
 
 class ShareTest(unittest.TestCase):
@@ -93,6 +105,9 @@
     def test_rare_route_needs_the_most_answers(self) -> None:
         self.assertFalse(self.has_results({"a": 15, "b": 18, "c": 13}))
 
+    def test_route_that_got_less_needs_no_more_than_its_due(self) -> None:
+        self.assertTrue(self.has_results({"a": 20, "b": 12, "c": 50}))
+
     def test_each_route_needs_some(self) -> None:
         least = ROUTE_RESULTS[0]
         for route in RARE:
