Leave caps room for a request where many routers serve a customer

Cause: with 23 routers on slow links caps of 0.15 s of burn hold no request, as each router sees one of a customer every few seconds; raising the cap takes a write each time, and these hold each other up.

Up to six routers nothing changes.

--- a/bluebellshore/budget/direct.py
+++ b/bluebellshore/budget/direct.py
@@ -64,6 +64,7 @@
     the store's time, caps are never below what is held.
 
     :param store_time: newest time told by the store, with the local time of `now`.
+    :param room_seconds: returns the time of the present burn that caps leave room for.
     """
 
     def __init__(
@@ -72,8 +73,10 @@
         burn_window_seconds: float = BURN_WINDOW_SECONDS,
         store_time: Callable[[], StoreTime | None] = lambda: None,
         lapse_seconds: float = LAPSE_SECONDS,
+        room_seconds: Callable[[], float] = lambda: ROOM_SECONDS,
     ):
         super().__init__(burn_window_seconds=burn_window_seconds)
+        self._room_seconds = room_seconds
         self._store_time = store_time
         self._lapse_seconds = lapse_seconds
         self._lapses_at = math.inf
@@ -140,7 +143,7 @@
             held -= billed.get(budget, 0)
             used = account.reserved + account.unsettled - billed.get(budget, 0)
             burn = account.burn.rate(now)
-            room = max(ROOM_SECONDS * burn, ROOM_SHARE * held)
+            room = max(self._room_seconds() * burn, ROOM_SHARE * held)
             rate = GROWTH_BURNS * burn + GROWTH_SHARE * held
             growth[budget] = Tokens(math.ceil(rate))
             caps[budget] = Tokens(min(held, int(used + needs.get(budget, 0) + room)))
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -56,7 +56,12 @@
 #: successor counts what they may have grown by since.
 REFRESH_SECONDS = 0.15
 #: The same for each router known, so that the store bears all of them together.
-ROUTER_REFRESH_SECONDS = 0.0125
+ROUTER_REFRESH_SECONDS = 0.025
+#: Room that caps leave, in seconds of a router's own burn: until the next refresh, and
+#: more for each router beyond a few. Each of many serves a customer so seldom that the
+#: burn of a refresh holds no request, and their writes hold each other up.
+FEW_ROUTERS = 6
+ROUTER_ROOM_SECONDS = 0.15
 #: Pause after a failure, before predecessors or budgets are tried again.
 RECOVER_SECONDS = 0.3
 #: Interval at which new customers are looked for.
@@ -133,13 +138,22 @@
         self._customers = customers
         self._clock = clock
         self._leaving = False
-        self._book = DirectBook(
-            burn_window_seconds=BURN_WINDOW_SECONDS, store_time=store_time
-        )
 
         def routers() -> int:
             return 1 + (len(peers.reachable()) if peers else 0)
 
+        def refresh_seconds() -> float:
+            return max(REFRESH_SECONDS, routers() * ROUTER_REFRESH_SECONDS)
+
+        self._book = DirectBook(
+            burn_window_seconds=BURN_WINDOW_SECONDS,
+            store_time=store_time,
+            room_seconds=lambda: (
+                refresh_seconds()
+                + ROUTER_ROOM_SECONDS * max(0, routers() - FEW_ROUTERS)
+            ),
+        )
+
         self._accountant = Accountant(
             table,
             self.incarnation,
@@ -153,9 +167,7 @@
             rng=rng,
             book=self._book,
             keeps_ledger=False,
-            refresh_seconds=lambda: max(
-                REFRESH_SECONDS, routers() * ROUTER_REFRESH_SECONDS
-            ),
+            refresh_seconds=refresh_seconds,
         )
         self._lines = BudgetLines(
             self._book,
