--- a/tests/soak_mutants.py
+++ b/tests/soak_mutants.py
@@ -61,7 +61,7 @@
         "dead-spent",
         "what a dead life may have spent counts as spent",
         "bluebellshore/budget/predecessor.py",
-        "return Tokens(min(own.outstanding, value.caps[budget]))",
+        "return min(own.outstanding, value.cap_at(budget, self._died_before))",
         "return Tokens(0)",
     ),
     Guard(
