Let the soak send no SIGHUP to a router that has not begun to serve

Ruled out: the product's own handling, which ignores SIGHUP from its first lines on (test_reload_while_it_starts_changes_nothing). The run was not repeated with that timing; the exit code and the schedule name the signal. Reloads during the start are left to that unit test.

--- a/bluebellshore/soak/system.py
+++ b/bluebellshore/soak/system.py
@@ -197,8 +197,12 @@
             process.wake()
 
     def reload(self) -> None:
-        """Have the process read its settings again."""
-        if self.running:
+        """Have the process read its settings again.
+
+        One that has not said that it serves is left alone: before the program's first
+        line SIGHUP ends any process.
+        """
+        if self.running and self.process.address:
             self.process.reload()
 
     async def close(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     Schedule,
     draw_schedule,
 )
+from bluebellshore.soak.system import Router
 from bluebellshore.standin.runner import Arrival
 
 #: Seeds of short runs, with the cause for which each is here.
@@ -303,3 +304,11 @@
         schedule = draw_schedule(3, 30.0, 2)
         encoded = msgspec.json.encode(schedule)
         self.assertEqual(schedule, msgspec.json.decode(encoded, type=Schedule))
+
+    def test_reload_waits_for_a_router_that_serves(self):
+        # A signal before the program's first line ends any process.
+        router = mock.Mock(running=True)
+        for address, reloads in (("", 0), ("127.0.0.1:9", 1)):
+            router.process.address = address
+            Router.reload(router)
+            self.assertEqual(reloads, router.process.reload.call_count)
