Log the caller's connection and the stop with each admitted request

An 'admitted' line now has the age of the connection, the request's number on it and the time since the stop began; a request that the router's own stop ends is logged as 'cut', 'the router stopped'.

--- a/bluebellshore/decisions/requests.py
+++ b/bluebellshore/decisions/requests.py
@@ -27,12 +27,18 @@
         prompt_tokens: int = 0,
         output_tokens: int = 0,
         resumed_at: str = "",
+        connection_seconds: float | None = None,
+        connection_requests: int | None = None,
+        stopping_seconds: float | None = None,
     ) -> None:
         """Log that a request is valid and was matched to a route and a customer.
 
         :param deadline_seconds: time left until the request's deadline.
         :param configuration: number of the configuration that was used.
         :param resumed_at: id of the event after which the caller resumes a stream.
+        :param connection_seconds: age of the caller's connection.
+        :param connection_requests: requests on that connection, with this one.
+        :param stopping_seconds: time since the process began to stop.
         """
         self.write_for_request(
             Kind.ADMITTED,
@@ -47,6 +53,9 @@
                 "prompt_tokens": prompt_tokens or None,
                 "output_tokens": output_tokens or None,
                 "resumed_at": resumed_at or None,
+                "connection_seconds": connection_seconds,
+                "connection_requests": connection_requests,
+                "stopping_seconds": stopping_seconds,
             },
         )
 
--- a/bluebellshore/entry/connections.py
+++ b/bluebellshore/entry/connections.py
@@ -25,9 +25,13 @@
     :param head_seconds: returns the longest time from the first byte of a head to its
         end.
     :param on_late: called with that time before the connection is closed for it.
+    :ivar opened_at: monotonic seconds at which the connection was accepted.
+    :ivar requests: requests whose handling has begun.
     """
 
     __slots__ = (
+        "opened_at",
+        "requests",
         "_body",
         "_serving",
         "_head_seconds",
@@ -48,6 +52,8 @@
         self._head_seconds = head_seconds
         self._on_late = on_late
         self._head_timer: asyncio.TimerHandle | None = None
+        self.opened_at = asyncio.get_running_loop().time()
+        self.requests = 0
         #: Body of the last request; after an early refusal it may still be arriving.
         self._body: StreamReader | None = None
         self._serving = False
@@ -59,6 +65,7 @@
         :param body: the request's body, which may still be arriving.
         """
         self._body, self._serving = body, True
+        self.requests += 1
         self._stop_timer()
 
     def request_ended(self) -> None:
--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -43,6 +43,8 @@
     :param memory_bytes: memory that the process may use; 0 when unknown.
     :param request_log: logs and counts how each request ended.
     :ivar active: requests being handled.
+    :ivar stopping_since: monotonic seconds at which the process began to stop; each
+        connection is closed after its present request from then on.
     """
 
     def __init__(
@@ -61,10 +63,15 @@
         self._max_held_body_bytes = max(MIN_BODIES_MEMORY_BYTES, share)
         self._server: CallerServer | None = None
         self._listener: asyncio.Server | None = None
-        #: Whether each connection is closed after its present request.
-        self.draining = False
+        self.stopping_since: float | None = None
+        self._closing = False
         self.active = 0
 
+    @property
+    def draining(self) -> bool:
+        """Whether each connection is closed after its present request."""
+        return self.stopping_since is not None
+
     async def start(self, listen: str) -> str:
         """Open the port. :return: ``host:port``."""
         self._server = CallerServer(
@@ -107,6 +114,7 @@
 
         :param timeout_seconds: longest wait for requests being served.
         """
+        self._closing = True
         if self._server is not None:
             await self._server.shutdown(timeout_seconds)
 
@@ -143,6 +151,9 @@
     ) -> web.StreamResponse:
         now = asyncio.get_running_loop().time
         trace, request_log = RequestTrace(now()), self._request_log
+        trace.connection_opened_at = request.protocol.opened_at
+        trace.connection_requests = request.protocol.requests
+        trace.stopping_since = self.stopping_since
         try:
             await self._forward(request, sink, trace)
         except RequestError as error:
@@ -157,7 +168,10 @@
                 return sink.abort()
             return self._refuse(status, error.message, error.retry_after)
         except asyncio.CancelledError:
-            request_log.caller_left(trace, sink.status, now())
+            if self._closing:
+                request_log.stopped(trace, sink.status, now())
+            else:
+                request_log.caller_left(trace, sink.status, now())
             raise
         except ConnectionError:
             # The caller disconnected between two writes.
--- a/bluebellshore/entry/request_log.py
+++ b/bluebellshore/entry/request_log.py
@@ -22,6 +22,9 @@
 
     :param received_at: when the router began to handle the request.
     :param attempt_id: id that the caller gave its attempt; empty for none.
+    :param connection_opened_at: when the caller's connection was accepted.
+    :param connection_requests: requests on that connection, with this one.
+    :param stopping_since: when the process began to stop; None before.
     :param configuration: number of the configuration that the request is served under.
     :param call: None until the request was admitted.
     :param attempts: attempts sent to backend servers.
@@ -34,6 +37,9 @@
 
     received_at: float
     attempt_id: str = ""
+    connection_opened_at: float | None = None
+    connection_requests: int | None = None
+    stopping_since: float | None = None
     configuration: int | None = None
     call: Call | None = None
     attempts: int = 0
@@ -101,6 +107,9 @@
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.max_output_tokens,
             resumed_at=call.last_event_id,
+            connection_seconds=_seconds_since(trace.connection_opened_at, now),
+            connection_requests=trace.connection_requests,
+            stopping_seconds=_seconds_since(trace.stopping_since, now),
         )
 
     def answered(self, trace: RequestTrace, status: int, now: float) -> None:
@@ -148,6 +157,14 @@
         if trace.call is not None:
             self._end(trace, status, Outcome.LEFT, now)
 
+    def stopped(self, trace: RequestTrace, status: int, now: float) -> None:
+        """Log a request that the router ended because it stopped.
+
+        :param status: status sent to the caller; 0 for none.
+        """
+        if trace.call is not None:
+            self._end(trace, status, Outcome.CUT, now, "the router stopped")
+
     def internal_error(self, trace: RequestTrace, error: Exception, now: float) -> None:
         """Log a request that failed by an unexpected exception in this process."""
         reason = f"{type(error).__name__}: {error}"
@@ -203,5 +220,9 @@
         )
 
 
+def _seconds_since(moment: float | None, now: float) -> float | None:
+    return None if moment is None else now - moment
+
+
 def _route_kind(trace: RequestTrace) -> str:
     return NO_ROUTE_KIND if trace.call is None else trace.call.route.kind.value
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -213,7 +213,7 @@
         close_at = began_at + self.settings.stop_seconds - CLOSE_RESERVE_SECONDS
         settle_at = began_at + self.settings.stop_seconds - SETTLE_RESERVE_SECONDS
         self.stopping = self._peers.leaving = True
-        self._ingress.draining = True
+        self._ingress.stopping_since = began_at
         await asyncio.sleep(ACCEPT_WHILE_STOPPING_SECONDS)
         await self._ingress.close_port()
         self._budgets.drain()
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -322,6 +322,27 @@
         self.assertNotIn("refused", self.message_types())
         self.assert_metrics('attempts_total{result="left"} 1.0')
 
+    async def test_request_cut_by_the_routers_own_stop_is_not_logged_as_left(self):
+        self.add_servers("a")
+        never = asyncio.Event()
+        self.backend.answers = [FakeAnswer([EVENT % 1, EVENT % 2])]
+        async with self.get() as response:
+            await response.read()
+        self.backend.answers = [FakeAnswer([EVENT % 1, never])]
+        self.ingress.stopping_since = self.now()
+        async with self.get() as response:
+            await response.content.readline()
+            await self.ingress.stop(0.01)
+            await self.wait_until(lambda: self.message_types().count("ended") == 2)
+        first, second = (x for x in self.lines if x["message_type"] == "admitted")
+        self.assertEqual(1, first["connection_requests"])
+        self.assertNotIn("stopping_seconds", first)
+        self.assertEqual(2, second["connection_requests"])
+        self.assertGreater(second["connection_seconds"], 0.0)
+        self.assertGreaterEqual(second["stopping_seconds"], 0.0)
+        self.assertEqual("cut", self.lines[-1]["outcome"])
+        self.assertEqual("the router stopped", self.lines[-1]["reason"])
+
 
 class QueueTest(EntryCase):
     async def test_wait_for_a_place_is_logged_when_it_ends(self):
