Begin no request late in a stop that may outlast it

Cause: a stop closed the port but left idle connections of callers open until its very end, and nothing compared the time a request may take with the time left. A request that waited for a place at the end got a bare close, too, and one without a begun answer no status.

Ruled out: new connections (other callers found the port closed at that time) and callers that left (the clients' record).

Now a schedule without I/O decides (entry/stop_schedule.py): after the time in which all requests are accepted, idle connections are closed and a request is begun only if its deadline ends before budgets are settled; any other is refused as not run, before its body is asked for. The port stays open until all requests have ended, as the platform may have no other router. Requests that remain at the end get a refusal that is true: 503 if they were not sent, 502 if they were and no answer began. Calls accepted in a stop have its end as their deadline, so that the queue refuses them early.

--- a/bluebellshore/entry/connections.py
+++ b/bluebellshore/entry/connections.py
@@ -34,6 +34,7 @@
         "requests",
         "_body",
         "_serving",
+        "_idle_since",
         "_head_seconds",
         "_head_timer",
         "_next_head_began",
@@ -57,6 +58,7 @@
         #: Body of the last request; after an early refusal it may still be arriving.
         self._body: StreamReader | None = None
         self._serving = False
+        self._idle_since = self.opened_at
         self._next_head_began = False
 
     def request_began(self, body: StreamReader) -> None:
@@ -74,13 +76,22 @@
         If the next head began to arrive meanwhile, its timeout starts now.
         """
         self._serving = False
+        self._idle_since = asyncio.get_running_loop().time()
         if self._next_head_began:
             self._next_head_began = False
             self._start_timer()
 
-    def close_idle(self) -> None:
-        """Close the connection unless a request is being received or served."""
-        if not self._serving and self._head_timer is None:
+    def close_idle(self, min_seconds: float = 0.0) -> None:
+        """Close the connection unless a request is being received or served.
+
+        :param min_seconds: a connection that has been idle for less stays open.
+        """
+        idle_seconds = asyncio.get_running_loop().time() - self._idle_since
+        if (
+            not self._serving
+            and self._head_timer is None
+            and idle_seconds >= min_seconds
+        ):
             self.force_close()
 
     def data_received(self, data: bytes) -> None:
--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -1,7 +1,8 @@
 """HTTP server for callers: reads requests, has them served and writes the answers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 from http import HTTPStatus
 
 from aiohttp import web
@@ -12,7 +13,8 @@
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.relay import Sink
 from bluebellshore.entry.request_log import RequestLog, RequestTrace
-from bluebellshore.errors import OverloadError, RefusedError, RequestError
+from bluebellshore.entry.stop_schedule import StopSchedule
+from bluebellshore.errors import OverloadError, RefusedError, RequestError, RunState
 from bluebellshore.fleet import Call, IngressLimits
 from bluebellshore.platform.requests import (
     CONNECTION_HEADERS,
@@ -34,6 +36,7 @@
 MIN_BODIES_MEMORY_BYTES = 16 * 1024 * 1024
 #: Deadline of requests that state none.
 DEFAULT_DEADLINE_SECONDS = 60.0
+STOP_STEP = "ingress.stop"
 
 
 class Ingress:
@@ -41,10 +44,11 @@
 
     :param serve: writes the answer of a call to the sink and updates the trace.
     :param memory_bytes: memory that the process may use; 0 when unknown.
+    :param others_serve: returns whether another router is known to serve.
     :param request_log: logs and counts how each request ended.
     :ivar active: requests being handled.
-    :ivar stopping_since: monotonic seconds at which the process began to stop; each
-        connection is closed after its present request from then on.
+    :ivar stop_schedule: set when the router begins to stop; each connection is closed
+        after its present request from then on.
     """
 
     def __init__(
@@ -53,8 +57,10 @@
         serve: Callable[[Call, Sink, RequestTrace], Awaitable[None]],
         *,
         memory_bytes: int,
+        others_serve: Callable[[], bool] = lambda: True,
         request_log: RequestLog | None = None,
     ):
+        self._others_serve = others_serve
         self._request_log = request_log or RequestLog()
         self._platform_state = platform_state
         self._serve = serve
@@ -63,14 +69,16 @@
         self._max_held_body_bytes = max(MIN_BODIES_MEMORY_BYTES, share)
         self._server: CallerServer | None = None
         self._listener: asyncio.Server | None = None
-        self.stopping_since: float | None = None
+        self.stop_schedule: StopSchedule | None = None
         self._closing = False
+        #: Requests being handled, by time limits that are set when the router stops.
+        self._traces_by_limit: dict[asyncio.Timeout, RequestTrace] = {}
         self.active = 0
 
     @property
     def draining(self) -> bool:
         """Whether each connection is closed after its present request."""
-        return self.stopping_since is not None
+        return self.stop_schedule is not None
 
     async def start(self, listen: str) -> str:
         """Open the port. :return: ``host:port``."""
@@ -103,11 +111,26 @@
         if self._listener is not None:
             self._listener.close()
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is being received or served."""
+    def close_idle(self, min_seconds: float = 0.0) -> None:
+        """Close the connections on which no request is being received or served.
+
+        :param min_seconds: connections that have been idle for less stay open.
+        """
         if self._server is not None:
             for connection in self._server.connections:
-                connection.close_idle()
+                connection.close_idle(min_seconds)
+
+    def end_requests(self, *, sent: bool) -> None:
+        """End requests for the stop of the router.
+
+        A caller that has received no part of its answer gets a refusal.
+
+        :param sent: also end requests that were sent to a backend server.
+        """
+        now = asyncio.get_running_loop().time()
+        for limit, trace in self._traces_by_limit.items():
+            if sent or not trace.attempts:
+                limit.reschedule(now)
 
     async def stop(self, timeout_seconds: float) -> None:
         """Close the open connections.
@@ -153,9 +176,11 @@
         trace, request_log = RequestTrace(now()), self._request_log
         trace.connection_opened_at = request.protocol.opened_at
         trace.connection_requests = request.protocol.requests
-        trace.stopping_since = self.stopping_since
+        if self.stop_schedule is not None:
+            trace.stopping_since = self.stop_schedule.began_at
         try:
-            await self._forward(request, sink, trace)
+            async with self._limit(trace):
+                await self._forward(request, sink, trace)
         except RequestError as error:
             status = HTTPStatus.BAD_REQUEST.value
             request_log.failed(trace, error, now(), status=status, began=False)
@@ -183,6 +208,38 @@
         request_log.answered(trace, sink.status, now())
         return sink.response
 
+    @contextlib.asynccontextmanager
+    async def _limit(self, trace: RequestTrace) -> AsyncIterator[None]:
+        """Run a request until the router ends it.
+
+        :raises RefusedError: the router stopped before the request ended.
+        """
+        limit = asyncio.timeout(None)
+        try:
+            async with limit:
+                self._traces_by_limit[limit] = trace
+                yield
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            raise self._stop_error(sent=trace.attempts > 0) from error
+        finally:
+            self._traces_by_limit.pop(limit, None)
+
+    def _stop_error(self, *, sent: bool) -> RefusedError:
+        """Return the caller's error for a request that the stop of the router ends.
+
+        :param sent: whether the request was sent to a backend server.
+        """
+        message = "the router stops"
+        if sent:
+            status = HTTPStatus.BAD_GATEWAY.value
+            return RefusedError(
+                message, step=STOP_STEP, status=status, run=RunState.UNKNOWN
+            )
+        retry_after = self.stop_schedule.retry_after(others_serve=self._others_serve())
+        return OverloadError(message, step=STOP_STEP, retry_after=retry_after)
+
     async def _forward(
         self, request: web.BaseRequest, sink: "_HttpSink", trace: RequestTrace
     ) -> None:
@@ -213,15 +270,31 @@
         )
         self._request_log.admitted(trace, call, trace.received_at)
         if request.headers.get("Expect", "").lower() == "100-continue":
+            self._refuse_late(call)
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             request.writer.output_size = 0
         body = await self._read_body(request, configuration.limits.body_bytes)
         try:
+            # Refused with its body read, as a close with unread bytes resets the
+            # connection, and the caller may lose the refusal.
+            self._refuse_late(call)
+            if self.stop_schedule is not None:
+                call.deadline = min(call.deadline, self.stop_schedule.close_at)
             call.body = body
             await self._serve(call, sink, trace)
         finally:
             self._held_body_bytes -= len(body)
 
+    def _refuse_late(self, call: Call) -> None:
+        """Refuse a request that may not end before the router stops.
+
+        :raises OverloadError: the request was not sent to a backend server.
+        """
+        schedule = self.stop_schedule
+        now = asyncio.get_running_loop().time()
+        if schedule is not None and not schedule.accepts(call.deadline, now):
+            raise self._stop_error(sent=False)
+
     async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
         """Read the body and add its size to the bytes held until the request ends.
 
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -24,6 +24,7 @@
 from bluebellshore.entry.rollouts import RolloutController
 from bluebellshore.entry.router_registry import RouterRegistry
 from bluebellshore.entry.settings import EntrySettings
+from bluebellshore.entry.stop_schedule import StopSchedule
 from bluebellshore.entry.watch import StoreWatch
 from bluebellshore.errors import SettingsError
 from bluebellshore.fleet import BackendServer, Configuration
@@ -48,15 +49,10 @@
 
 __all__ = ["EntryRouter", "serve"]
 
-#: Time for which a stopping router, already not ready, accepts new connections. The
-#: platform sends no more callers after the second failed readiness check; callers that
-#: it sent before then still arrive.
-ACCEPT_WHILE_STOPPING_SECONDS = 2.6
-#: Time before SIGKILL at which the router settles budgets even if requests still run.
-SETTLE_RESERVE_SECONDS = 0.8
-#: Time before SIGKILL at which the router stops settling and closes connections.
-CLOSE_RESERVE_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.05
+#: Idle time after which a stopping router closes a caller's connection. A caller that
+#: has just connected sends its request within that time.
+DRAIN_IDLE_SECONDS = 0.5
 SERVER_CHECK_SECONDS = 0.25
 #: Largest age of the configuration in metrics, and its age until one is confirmed.
 MAX_CONFIGURATION_AGE_SECONDS = 1e6
@@ -183,6 +179,7 @@
             self._platform_state,
             self._dispatcher.serve,
             memory_bytes=settings.memory_bytes,
+            others_serve=lambda: bool(self._peers.serving()),
             request_log=RequestLog(self._log, self._metrics),
         )
         await self._peers.start()
@@ -204,31 +201,33 @@
     async def stop(self) -> None:
         """Stop serving, with time for requests in flight to end.
 
-        Accepts connections until the platform has noticed that the router is not ready,
-        waits for requests in flight, settles budgets, and closes everything within
+        Accepts all requests until the platform has noticed that the router is not
+        ready, then only such that end in the time left, and closes idle connections.
+        Waits for requests in flight, settles budgets, and closes everything within
         `stop_seconds` of the settings.
         """
         loop = asyncio.get_running_loop()
-        began_at = loop.time()
-        close_at = began_at + self.settings.stop_seconds - CLOSE_RESERVE_SECONDS
-        settle_at = began_at + self.settings.stop_seconds - SETTLE_RESERVE_SECONDS
+        schedule = StopSchedule.begin(loop.time(), self.settings.stop_seconds)
         self.stopping = self._peers.leaving = True
-        self._ingress.stopping_since = began_at
-        await asyncio.sleep(ACCEPT_WHILE_STOPPING_SECONDS)
-        await self._ingress.close_port()
+        self._ingress.stop_schedule = schedule
+        await asyncio.sleep(schedule.accept_until - loop.time())
         self._budgets.drain()
-        while self._ingress.active and loop.time() < settle_at:
+        self._ingress.close_idle(DRAIN_IDLE_SECONDS)
+        while self._ingress.active and loop.time() < schedule.settle_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+            self._ingress.close_idle(DRAIN_IDLE_SECONDS)
+        await self._ingress.close_port()
+        self._ingress.end_requests(sent=False)
         self._log.notice(
             "stop",
             "all requests ended"
             if not self._ingress.active
             else "no time left to wait for requests",
-            seconds=round(loop.time() - began_at, 2),
+            seconds=round(loop.time() - schedule.began_at, 2),
             unfinished=self._ingress.active,
         )
         try:
-            async with asyncio.timeout_at(close_at):
+            async with asyncio.timeout_at(schedule.close_at):
                 await self._budgets.close()
                 await self._router_registry.deregister()
         except TimeoutError:
@@ -240,8 +239,9 @@
             )
         # Callers may have sent requests on open connections in the meantime.
         self._ingress.close_idle()
-        while self._ingress.active and loop.time() < close_at:
+        while self._ingress.active and loop.time() < schedule.close_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self._ingress.end_requests(sent=True)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/entry_system.py
+++ b/tests/entry_system.py
@@ -96,9 +96,7 @@
         self.directory = pathlib.Path(directory.name)
         # The readiness of routers in this process is not polled, so that a stopping
         # one need not accept connections for as long.
-        patch = mock.patch(
-            "bluebellshore.entry.router.ACCEPT_WHILE_STOPPING_SECONDS", 0.1
-        )
+        patch = mock.patch("bluebellshore.entry.stop_schedule.ACCEPT_SECONDS", 0.1)
         patch.start()
         self.addCleanup(patch.stop)
         self.store = PlatformStandin(PlatformSettings())
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -17,6 +17,7 @@
 from bluebellshore.entry.metrics_port import MetricsPort
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.request_log import RequestLog, RequestTrace
+from bluebellshore.entry.stop_schedule import StopSchedule
 from bluebellshore.fleet import RouteKind
 from bluebellshore.ids import IncarnationId, ZoneName
 from bluebellshore.platform.names import ATTEMPT_HEADER, DEADLINE_HEADER
@@ -329,7 +330,7 @@
         async with self.get() as response:
             await response.read()
         self.backend.answers = [FakeAnswer([EVENT % 1, never])]
-        self.ingress.stopping_since = self.now()
+        self.ingress.stop_schedule = StopSchedule.begin(self.now(), 8.0)
         async with self.get() as response:
             await response.content.readline()
             await self.ingress.stop(0.01)
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from bluebellshore.decisions import DecisionLog
-from bluebellshore.entry import router
+from bluebellshore.entry import router, stop_schedule
 from bluebellshore.entry.ejection_log import EjectionLog
 from bluebellshore.entry.peers import PeerExchange
 from bluebellshore.entry.platform_state import PlatformState
@@ -37,7 +37,7 @@
 class RouterTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, **changes):
         lines = []
-        patch = mock.patch.object(router, "ACCEPT_WHILE_STOPPING_SECONDS", 0.0)
+        patch = mock.patch.object(stop_schedule, "ACCEPT_SECONDS", 0.0)
         patch.start()
         self.addCleanup(patch.stop)
         settings = settings_without_store(**changes)
@@ -82,7 +82,7 @@
     async def test_router_without_store_stops_in_time_and_logs_the_steps(self):
         lines = []
         settings = settings_without_store()
-        with mock.patch.object(router, "ACCEPT_WHILE_STOPPING_SECONDS", 0.0):
+        with mock.patch.object(stop_schedule, "ACCEPT_SECONDS", 0.0):
             entry = router.EntryRouter(settings, log=DecisionLog(lines.append))
             await entry.start()
             await entry.stop()
@@ -110,7 +110,7 @@
             await arrived.wait()
 
         async with aiohttp.ClientSession() as session:
-            with mock.patch.object(router, "ACCEPT_WHILE_STOPPING_SECONDS", 0.0):
+            with mock.patch.object(stop_schedule, "ACCEPT_SECONDS", 0.0):
                 await entry.start()
                 entry._ingress._answer = answer
                 entry._budgets.close = close_budgets
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -1,12 +1,18 @@
 """Tests of requests that reach an entry router while it stops."""
 
 import asyncio
+import os
+from unittest import mock
 
 from bluebellshore.load.fleet import wait_until
+from bluebellshore.platform.settings import SETTINGS_VARIABLE
 from tests.entry_system import HOST, KEY, EntryTestCase
 
 #: Longer than a stopping router accepts all requests; tests shorten that to 0.1 s.
 ACCEPTING_SECONDS = 0.5
+#: Grace period of the stop; the routes allow a request more time.
+STOP_SECONDS = 5.0
+SHORT_DEADLINE_MS = 1000
 LONG_DEADLINE_MS = 600_000
 
 
@@ -21,10 +27,11 @@
         self._reader, self._writer = await asyncio.open_connection(host, int(port))
         return self
 
-    def send(self, path, attempt, deadline_ms):
+    def send(self, path, attempt, deadline_ms, more_headers=""):
         self._writer.write(
             f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}\r\n"
-            f"X-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\n\r\n".encode()
+            f"X-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+            f"{more_headers}\r\n".encode()
         )
 
     async def read_status(self):
@@ -52,9 +59,12 @@
 
 
 class LateRequestTest(EntryTestCase):
-    async def stop_with_a_stream(self):
+    async def stop_with_a_stream(self, stop_seconds=STOP_SECONDS):
         """Start to stop a router that has a stream in flight and a kept connection."""
         instance = await self.start_system()
+        instance.write(stop_seconds=stop_seconds)
+        with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(instance.path)}):
+            instance.router.reload()
         for runner in self.runners:
             if runner.settings.streaming:
                 runner.gate.clear()
@@ -64,13 +74,13 @@
         kept.send("/safe/a", self.new_attempt_id(), 8000)
         self.assertEqual(200, await kept.read_plain())
         early = self.new_attempt_id()
-        task = asyncio.create_task(
+        self.early = asyncio.create_task(
             self.call(instance, "/stream/a", headers=self.headers(early))
         )
-        self.addCleanup(task.cancel)
+        self.addCleanup(self.early.cancel)
         await wait_until(lambda: self.count_runs(early), "the early stream")
-        stop = asyncio.create_task(instance.router.stop())
-        self.addAsyncCleanup(asyncio.wait_for, stop, None)
+        self.stop = asyncio.create_task(instance.router.stop())
+        self.addAsyncCleanup(asyncio.wait_for, self.stop, None)
         await asyncio.sleep(ACCEPTING_SECONDS)
         return instance, kept
 
@@ -90,3 +100,68 @@
         self.assertEqual(0, self.count_runs(late))
         self.assertIn(await status, (0, 503))
         self.open_gates()
+
+    async def test_kept_connection_is_closed_once_all_requests_are_not_accepted(self):
+        _, kept = await self.stop_with_a_stream(stop_seconds=20.0)
+        self.assertEqual(b"", await kept.read_rest())
+        # Streams that were accepted before go on.
+        self.open_gates()
+        self.assertEqual(200, (await self.early)[0])
+
+    async def test_late_caller_that_waits_to_send_its_body_is_refused_without_it(self):
+        instance, _ = await self.stop_with_a_stream()
+        late = await KeptConnection(instance).open()
+        self.addCleanup(late.close)
+        late.send(
+            "/stream/a",
+            self.new_attempt_id(),
+            LONG_DEADLINE_MS,
+            "Content-Length: 1\r\nExpect: 100-continue\r\n",
+        )
+        self.assertEqual(503, await late.read_status())
+        self.open_gates()
+
+    async def test_new_connection_late_in_a_stop_gets_an_answer_or_a_refusal(self):
+        instance, _ = await self.stop_with_a_stream()
+        statuses = {}
+        for path, deadline_ms in (
+            ("/safe/a", SHORT_DEADLINE_MS),
+            ("/stream/a", LONG_DEADLINE_MS),
+        ):
+            attempt = self.new_attempt_id()
+            headers = self.headers(attempt, deadline_ms=deadline_ms)
+            status, answer, _ = await self.call(instance, path, headers=headers)
+            self.assertEqual("close", answer["Connection"].lower())
+            statuses[path] = status, self.count_runs(attempt)
+        self.assertEqual({"/safe/a": (200, 1), "/stream/a": (503, 0)}, statuses)
+        self.open_gates()
+
+
+class RemainingRequestTest(EntryTestCase):
+    """Requests that are still served when the time of a stop is over."""
+
+    async def test_remaining_requests_get_refusals_that_are_true(self):
+        self.configure()
+        runner = await self.add_runner("plain-a", slots=1, queued=0)
+        runner.gate.clear()
+        instance = self.make_instance()
+        instance.write(stop_seconds=2.0)
+        await self.start_router(instance)
+        await self.wait_until_synced(instance)
+        sent, waiting = self.new_attempt_id(), self.new_attempt_id()
+        tasks = []
+        for attempt in (sent, waiting):
+            headers = self.headers(attempt, deadline_ms=LONG_DEADLINE_MS)
+            tasks.append(
+                asyncio.create_task(self.call(instance, "/unsafe/a", headers=headers))
+            )
+            await wait_until(lambda: self.count_runs(sent), "the run")
+        await wait_until(
+            lambda: instance.router.snapshot()["waiting_requests"], "the waiting one"
+        )
+        await instance.router.stop()
+        answers = await asyncio.gather(*tasks)
+        self.assertEqual([502, 503], [status for status, _, _ in answers])
+        self.assertIn("Retry-After", answers[1][1])
+        self.assertEqual([1, 0], [self.count_runs(sent), self.count_runs(waiting)])
+        runner.gate.set()
