Count the time of a stop from a signal that came during the start

SIGTERM is blocked until the start is over, so a router that was told to stop while it started planned its stop from the end of the start: it accepted requests for its whole window and would still serve them when SIGKILL came.

The signal's time isn't known, so the stop counts from the start of the process.

--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -72,6 +72,8 @@
     :ivar address: ``host:port`` of the port for callers.
     :ivar operator_address: ``host:port`` of metrics and state dump; empty for none.
     :ivar stopping: whether the router was told to stop.
+    :ivar stop_requested_at: monotonic seconds from which `stop` counts the grace
+        period; None to count it from its call.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         self._metrics_port: MetricsPort | None = None
         self.operator_address = ""
         self.stopping = False
+        self.stop_requested_at: float | None = None
         self._tasks: list[asyncio.Task] = []
         self._ready_runner: web.ServerRunner | None = None
 
@@ -207,10 +210,14 @@
         `stop_seconds` of the settings.
         """
         loop = asyncio.get_running_loop()
-        schedule = StopSchedule.begin(loop.time(), self.settings.stop_seconds)
+        requested_at = self.stop_requested_at
+        schedule = StopSchedule.begin(
+            loop.time() if requested_at is None else requested_at,
+            self.settings.stop_seconds,
+        )
         self.stopping = self._peers.leaving = True
         self._ingress.stop_schedule = schedule
-        await asyncio.sleep(schedule.accept_until - loop.time())
+        await asyncio.sleep(max(0.0, schedule.accept_until - loop.time()))
         self._budgets.drain()
         self._ingress.close_idle(DRAIN_IDLE_SECONDS)
         while self._ingress.active and loop.time() < schedule.settle_at:
--- a/bluebellshore/runtime.py
+++ b/bluebellshore/runtime.py
@@ -10,6 +10,7 @@
 import eliot
 import uvloop
 
+from bluebellshore import STARTED_AT
 from bluebellshore.decisions import DecisionLog
 
 __all__ = ["Role", "run_role", "wait_for_signal"]
@@ -22,9 +23,12 @@
     """What a process serves as: a router, a sidecar or a stand-in.
 
     :ivar address: ``host:port`` on which it serves, valid after :meth:`start`.
+    :ivar stop_requested_at: monotonic seconds of the request to stop, set before
+        :meth:`stop` where that request came during the start.
     """
 
     address: str
+    stop_requested_at: float | None = None
 
     async def start(self) -> None:
         """Start serving."""
@@ -59,13 +63,14 @@
         """Do nothing: :func:`run_role` stops the role first, without a time limit."""
 
 
-async def wait_for_signal(reload: Callable[[], None] | None = None) -> None:
+async def wait_for_signal(reload: Callable[[], None] | None = None) -> bool:
     """Wait until SIGTERM or SIGINT asks this process to stop.
 
     Unblocks these two signals, so one that was sent while :func:`run_role` blocked
     them ends the wait at once.
 
     :param reload: function to call at each SIGHUP.
+    :return: whether the signal came before this call, at an unknown time.
     """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -73,8 +78,10 @@
         loop.add_signal_handler(signal.SIGHUP, reload)
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopped.set)
+    came_before = not signal.sigpending().isdisjoint(STOP_SIGNALS)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
     await stopped.wait()
+    return came_before
 
 
 def _ignore_signals() -> None:
@@ -94,7 +101,8 @@
 
 async def _run_until_signal(role: Role, log: DecisionLog | None) -> None:
     """Wait for a signal to stop, stop `role` gracefully and log each step."""
-    await wait_for_signal(getattr(role, "reload", None))
+    if await wait_for_signal(getattr(role, "reload", None)):
+        role.stop_requested_at = STARTED_AT
     name = type(role).__name__
     if log is None:
         eliot.log_message("stopping", role=name)
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -79,6 +79,15 @@
 
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_stop_that_was_requested_during_the_start_has_less_time_left(self):
+        entry = router.EntryRouter(settings_without_store(stop_seconds=60.0))
+        await entry.start()
+        entry.stop_requested_at = asyncio.get_running_loop().time() - 58.0
+        await entry.stop()
+        schedule = entry._ingress.stop_schedule
+        self.assertEqual(entry.stop_requested_at, schedule.began_at)
+        self.assertEqual(entry.stop_requested_at + 59.5, schedule.close_at)
+
     async def test_router_without_store_stops_in_time_and_logs_the_steps(self):
         lines = []
         settings = settings_without_store()
--- a/tests/test_runtime_signals.py
+++ b/tests/test_runtime_signals.py
@@ -31,6 +31,36 @@
 """
 
 
+#: Is asked to stop while its role starts.
+EARLY_PROGRAM = """
+import os, signal, time
+import bluebellshore
+from bluebellshore import runtime
+
+class Role:
+    address = ""
+    stop_requested_at = None
+
+    async def start(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def stop(self):
+        print("since the start", self.stop_requested_at == bluebellshore.STARTED_AT)
+
+runtime.run_role(Role())
+"""
+
+
+class EarlyStopTest(unittest.TestCase):
+    def test_time_to_stop_counts_from_a_signal_that_came_during_the_start(self):
+        # The router took the end of its start for the begin of its grace period.
+        ended = subprocess.run(
+            [sys.executable, "-c", EARLY_PROGRAM], capture_output=True, text=True
+        )
+        self.assertEqual(0, ended.returncode, ended.stderr)
+        self.assertIn("since the start True\n", ended.stdout)
+
+
 class LastSignalsTest(unittest.TestCase):
     def test_signal_while_handlers_are_removed_does_not_end_the_process(self):
         ended = subprocess.run(
