Go on with a stop whose budgets fail to settle

An error other than a time-out while budgets are settled, e.g. of an unreadable row, ended the stop on the spot: requests in flight were cut and idle connections never closed in order. Now it is logged and the stop goes on; the successor settles.

--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -233,17 +233,7 @@
             seconds=round(loop.time() - schedule.began_at, 2),
             unfinished=self._ingress.active,
         )
-        try:
-            async with asyncio.timeout_at(schedule.close_at):
-                await self._budgets.close()
-                await self._router_registry.deregister()
-        except TimeoutError:
-            # While the store is out, tokens can't be returned: the successor does that.
-            self._log.notice(
-                "stop",
-                "the store did not answer in time; the successor settles budgets",
-                lost=self._watch.lost,
-            )
+        await self._settle(schedule.close_at)
         # Callers may have sent requests on open connections in the meantime.
         self._ingress.close_idle()
         while self._ingress.active and loop.time() < schedule.close_at:
@@ -262,6 +252,29 @@
             await self._metrics_port.stop()
         await self._budgets.abandon()
 
+    async def _settle(self, close_at: float) -> None:
+        """Settle budgets and leave the registry; a failure doesn't end the stop.
+
+        :param close_at: time limit in monotonic seconds.
+        """
+        try:
+            async with asyncio.timeout_at(close_at):
+                await self._budgets.close()
+                await self._router_registry.deregister()
+        except TimeoutError:
+            # While the store is out, tokens can't be returned: the successor does that.
+            self._log.notice(
+                "stop",
+                "the store did not answer in time; the successor settles budgets",
+                lost=self._watch.lost,
+            )
+        except Exception as error:
+            self._log.notice(
+                "stop",
+                "budgets were not settled; the successor does that",
+                error=f"{type(error).__name__}: {error}",
+            )
+
     def reload(self) -> None:
         """Read the settings file again. An invalid file changes nothing."""
         try:
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 from bluebellshore.decisions import DecisionLog
@@ -105,6 +106,39 @@
         )
         self.assertEqual(entry.snapshot()["active_requests"], 0)
 
+    async def test_budgets_that_fail_to_settle_cut_no_request(self):
+        # An unreadable budget row ended the stop before requests in flight were done.
+        lines = []
+        entry = router.EntryRouter(
+            settings_without_store(stop_seconds=1.6), log=DecisionLog(lines.append)
+        )
+        arrived, failed, gate = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def answer(request, sink):
+            arrived.set()
+            await gate.wait()
+            return web.Response(text="whole")
+
+        async def close_budgets():
+            failed.set()
+            raise msgspec.DecodeError("damaged row")
+
+        async with aiohttp.ClientSession() as session:
+            with mock.patch.object(stop_schedule, "ACCEPT_SECONDS", 0.0):
+                await entry.start()
+                entry._ingress._answer = answer
+                entry._budgets.close = close_budgets
+                task = asyncio.create_task(session.get(f"http://{entry.address}/a"))
+                await arrived.wait()
+                stop = asyncio.create_task(entry.stop())
+                await failed.wait()
+                gate.set()
+                async with await task as response:
+                    self.assertEqual("whole", await response.text())
+                await stop
+        reasons = [line["reason"] for line in lines if line.get("subject") == "stop"]
+        self.assertIn("budgets were not settled; the successor does that", reasons)
+
     async def test_request_that_arrives_while_budgets_close_is_not_cut(self):
         entry = router.EntryRouter(settings_without_store(stop_seconds=60.0))
         arrived, closing, gate = asyncio.Event(), asyncio.Event(), asyncio.Event()
