Remove a stopped router from the registry in every case

And a refresh between the removal and the end of the process wrote the row anew. An instance removed for good then counts for ever in what routers share: connections to backend servers and retries.

Both calls go to the store at once now, a router that left doesn't register again, and the log tells requests in flight from a slow store. Before: 2 of 2 tests of test_entry_router_registry fail; now they pass, and test_entry_router and test_entry_stops (13).

--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -259,14 +259,22 @@
         """
         try:
             async with asyncio.timeout_at(close_at):
-                await self._budgets.close()
-                await self._router_registry.deregister()
+                await asyncio.gather(
+                    self._router_registry.deregister(), self._budgets.close()
+                )
         except TimeoutError:
-            # While the store is out, tokens can't be returned: the successor does that.
+            # While the store is out, tokens can't be returned, and those of a request
+            # in flight aren't known: the successor settles both.
+            reason = (
+                "requests were in flight"
+                if self._ingress.active
+                else "the store did not answer in time"
+            )
             self._log.notice(
                 "stop",
-                "the store did not answer in time; the successor settles budgets",
+                f"{reason}; the successor settles budgets",
                 lost=self._watch.lost,
+                unfinished=self._ingress.active,
             )
         except Exception as error:
             self._log.notice(
--- a/bluebellshore/entry/router_registry.py
+++ b/bluebellshore/entry/router_registry.py
@@ -47,6 +47,7 @@
         self._own_row = _RouterRow(address, incarnation)
         self._add_addresses = add_addresses
         self._registered_count = 0
+        self._leaving = False
 
     @property
     def registered_count(self) -> int:
@@ -63,7 +64,11 @@
             await asyncio.sleep(REFRESH_SECONDS * random.uniform(0.8, 1.2))
 
     async def deregister(self) -> None:
-        """Remove this router's row, unless another incarnation replaced it."""
+        """Remove this router's row, unless another incarnation replaced it.
+
+        The row is not written again by a later refresh.
+        """
+        self._leaving = True
         try:
             rows = (await self._table.snapshot(ROUTERS_TABLE)).rows_by_key
             row = rows.get(self._key)
@@ -75,7 +80,7 @@
     async def _refresh(self) -> None:
         rows = (await self._table.snapshot(ROUTERS_TABLE)).rows_by_key
         own = rows.get(self._key)
-        if own is None or not self._is_own_row(own):
+        if not self._leaving and (own is None or not self._is_own_row(own)):
             version = ABSENT if own is None else own.version
             value = msgspec.json.encode(self._own_row)
             await self._table.transact([Write(self._key, version, value)])
