Take on no duty and no job once a router stops

The periodic run of the duties went on while a router of the product's own deployments stopped: a job begun after the wait for the running ones was cut when the process ended, and leases were taken back after their release, so that their successors waited for them to expire. The dispatcher starts no more jobs once it is told to stop, waits for a run in progress, and a lease manager that released its leases acquires none.

--- a/bluebellshore/duties/dispatch.py
+++ b/bluebellshore/duties/dispatch.py
@@ -85,6 +85,8 @@
         self._rng = random.Random()
         self._tasks_by_job: dict[JobId, asyncio.Task] = {}
         self._delays_by_job: dict[JobId, _RetryDelay] = {}
+        self._dispatching = asyncio.Lock()
+        self._stopping = False
 
     @property
     def running(self) -> int:
@@ -97,14 +99,22 @@
         :param run: sends a job's request and returns the response.
         :return: number of jobs started; 0 without the lease.
         """
-        epoch = await self._leases.acquire(JOBS_LEASE)
-        if epoch is None:
-            return 0
-        try:
-            return await self._start_due(epoch, run)
-        except PlatformError as error:
-            eliot.log_message("job_dispatch_failed", error=str(error))
-            return 0
+        async with self._dispatching:
+            epoch = await self._leases.acquire(JOBS_LEASE)
+            if epoch is None:
+                return 0
+            try:
+                return await self._start_due(epoch, run)
+            except PlatformError as error:
+                eliot.log_message("job_dispatch_failed", error=str(error))
+                return 0
+
+    async def stop(self) -> None:
+        """Start no more jobs, then wait until the running ones have finished."""
+        self._stopping = True
+        async with self._dispatching:
+            pass
+        await self.close()
 
     async def close(self) -> None:
         """Wait until the jobs that run on this router have finished."""
@@ -117,7 +127,7 @@
         for _ in range(MAX_PAGES_PER_RUN):
             page = await self._jobs.table.scan(DUE_PREFIX, after, JOBS_PER_PAGE)
             for index_row in page:
-                if len(self._tasks_by_job) >= self._max_running:
+                if self._stopping or len(self._tasks_by_job) >= self._max_running:
                     return started
                 job_id = JobId(index_row.key.rpartition("/")[2])
                 started += await self._start(job_id, epoch, run)
--- a/bluebellshore/duties/lease.py
+++ b/bluebellshore/duties/lease.py
@@ -74,14 +74,17 @@
         self._clock = clock
         self._observed_by_name: dict[str, _ObservedLease] = {}
         self._lock = asyncio.Lock()
+        self._released = False
 
     async def acquire(self, name: str) -> Epoch | None:
         """Acquire a lease, or renew it if this router holds it.
 
-        :return: the fencing token; None if another router holds the lease or the
-            platform did not answer.
+        :return: the fencing token; None if another router holds the lease, the
+            platform did not answer, or this router has released its leases.
         """
         async with self._lock:
+            if self._released:
+                return None
             try:
                 return await self._acquire(name)
             except PlatformError as error:
@@ -107,8 +110,12 @@
             )
 
     async def release_all(self) -> None:
-        """Release all leases so that other routers need not wait for them to expire."""
+        """Release all leases so that other routers need not wait for them to expire.
+
+        None is acquired any more.
+        """
         async with self._lock:
+            self._released = True
             for name, observed in list(self._observed_by_name.items()):
                 if observed.row.holder != self._holder:
                     continue
--- a/bluebellshore/router/duties.py
+++ b/bluebellshore/router/duties.py
@@ -82,7 +82,7 @@
 
     async def stop(self) -> None:
         """Wait for running jobs, stop reclaiming and release the leases."""
-        await self._job_dispatcher.close()
+        await self._job_dispatcher.stop()
         if self._is_reclaiming():
             self._reclaim_task.cancel()
         await self._run_step(self._lease_manager.release_all)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -50,6 +50,14 @@
         self.assertEqual(await second.acquire("jobs"), 2)
         self.assertIsNone(await first.acquire("jobs"))
 
+    async def test_router_that_released_its_leases_acquires_none(self):
+        # Duties still ran while the router stopped, and took the leases back.
+        first, second = self.leases("r1"), self.leases("r2")
+        await first.acquire("jobs")
+        await first.release_all()
+        self.assertIsNone(await first.acquire("jobs"))
+        self.assertEqual(await second.acquire("jobs"), 2)
+
     async def test_paused_holder_cannot_write(self):
         first, second = self.leases("r1"), self.leases("r2")
         await first.acquire("jobs")
@@ -226,6 +234,31 @@
         self.assertEqual(await dispatcher.run_once(self.answer), 0)
         self.assertEqual(len(await self.jobs.list_page("acme")), 1)
 
+    async def test_job_is_not_begun_by_a_router_that_waited_for_its_last_one(self):
+        # A job begun meanwhile was cut when the router had stopped.
+        ids = [await self.jobs.submit(job(key=f"k-{n}")) for n in range(2)]
+        dispatcher = self.dispatcher()
+        read, gate, reads = self.jobs.read, asyncio.Event(), []
+
+        async def gated_read(job_id):
+            reads.append(job_id)
+            await gate.wait()
+            return await read(job_id)
+
+        self.jobs.read = gated_read
+        run = asyncio.create_task(dispatcher.run_once(self.answer))
+        while not reads:
+            await asyncio.sleep(0)
+        stop = asyncio.create_task(dispatcher.stop())
+        await asyncio.sleep(0)
+        gate.set()
+        await stop
+        self.assertEqual(1, await run)
+        self.assertEqual(0, await dispatcher.run_once(self.answer))
+        states = [(await self.jobs.fetch(job_id, "acme")).state for job_id in ids]
+        self.assertEqual({JobState.DONE, JobState.WAITING}, set(states))
+        self.assertEqual(0, dispatcher.running)
+
     async def test_same_key_is_one_job(self):
         self.table.faults.lose_next = 1
         first = await self.jobs.submit(job())
