Let the soak use kept connections until a stopping router is gone

Seen at scale: a router took a request on a connection that a caller had kept open, 4 to 6 s after SIGTERM, and cut its answer when the grace period ended. The soak never found this.

- callers keep 12 connections to each router, idle for up to 8 s, and go on until the process is gone; some of their requests are streams of 3 and 9 s from two further backend servers, against a grace period of 8 s
- half of the runs with planned work alone stop all routers in turn, 1.1 s apart and again and again, with SIGHUP, changed settings and configurations meanwhile; these have their own random numbers, other seeds draw what they drew
- "stops lose nothing" judges, as the platform does, what was passed on or read by a stopping router: an answer, unless the server broke off, the deadline was reached, or it was sent by 3 s after SIGTERM and its server was still at work in the last sixth of the grace period.
"planned work cuts nothing" has this last excuse too; no stream lasted long enough to need it before
- the report counts requests late in a stop and stops that needed SIGKILL

--- a/bluebellshore/soak/checks.py
+++ b/bluebellshore/soak/checks.py
@@ -10,16 +10,20 @@
 from bluebellshore.soak.callers import PAID_COST, Kind, Sent, right_answer
 from bluebellshore.soak.faults import Happened
 from bluebellshore.soak.schedule import Action
-from bluebellshore.soak.system import CUSTOMERS, PAID
+from bluebellshore.soak.stops import (
+    CONTACT_SECONDS,
+    lost_in_stop,
+    may_be_cut,
+    only_planned_around,
+)
+from bluebellshore.soak.system import CUSTOMERS, PAID, Stop
 from bluebellshore.standin.runner import Arrival
 
 __all__ = ["Broken", "Record", "check"]
 
 #: Answers that promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
-#: Undisturbed time after which a router's promises with a time bound hold, and the
-#: bounds; the settings of the run say the same with less slack.
-CONTACT_SECONDS = 4.0
+#: Bound of the requests to a leaving backend server, with slack.
 DRAIN_SECONDS = 3.0
 #: Part of its time after which a request's end is no longer put down to planned work.
 MOST_TIME_SHARE = 0.7
@@ -65,6 +69,7 @@
     :param ended: ends of processes that nobody asked for.
     :param ended_at: monotonic seconds of the end of the run.
     :param configured_at: when the store took each configuration, by number.
+    :param stops: of all routers.
     """
 
     sent: list[Sent]
@@ -75,6 +80,7 @@
     ended: list[str]
     ended_at: float = 0.0
     configured_at: dict[int, float] = msgspec.field(default_factory=dict)
+    stops: list[Stop] = msgspec.field(default_factory=list)
 
 
 def check(record: Record) -> list[Broken]:
@@ -87,7 +93,7 @@
         broken += _check_runs(sent, by_attempt[sent.attempt_id])
         broken += _check_answer(sent)
         broken += _check_head(sent, by_attempt[sent.attempt_id])
-        broken += _check_stop(sent, by_attempt[sent.attempt_id], record.happened)
+        broken += _check_stop(sent, by_attempt[sent.attempt_id], record)
     broken += _check_arrivals(record.sent, record.arrivals)
     broken += _check_budget(record)
     broken += _check_drain(record)
@@ -131,22 +137,22 @@
 
 
 def _check_stop(
-    sent: Sent, arrivals: Sequence[Arrival], happened: Sequence[Happened]
+    sent: Sent, arrivals: Sequence[Arrival], record: Record
 ) -> Iterable[Broken]:
     """A request that was passed on is answered, with planned work alone around it."""
+    lost = lost_in_stop(sent, arrivals, record.happened, record.stops)
+    if lost:
+        yield Broken("stops lose nothing", sent.attempt_id, lost, sent.router)
+    if may_be_cut(sent, arrivals, record.stops):
+        return
     if sent.left or not sent.error or not any(seen.ran for seen in arrivals):
         return
     if any(seen.outcome not in ("done", "left", "running") for seen in arrivals):
         return
     if sent.ended_at - sent.at > MOST_TIME_SHARE * sent.deadline_seconds:
         return
-    around = [
-        other.fault
-        for other in happened
-        if other.began_at < sent.ended_at and other.ended_at > sent.at - CONTACT_SECONDS
-    ]
-    if around and all(fault.action.planned for fault in around):
-        work = ", ".join(sorted({fault.action.value for fault in around}))
+    work = only_planned_around(sent, record.happened)
+    if work:
         detail = f"{sent.error}, status {sent.status}, around it {work}"
         yield Broken("planned work cuts nothing", sent.attempt_id, detail, sent.router)
 
@@ -168,8 +174,7 @@
         keys = [key for key in CUSTOMERS.values() if key in seen.headers.values()]
         if keys or KEY_HEADER.lower() in seen.headers:
             yield Broken("keys stay here", seen.attempt_id, "key passed on")
-        service = "streams" if sent.kind.streams else "plain"
-        if seen.ran and not seen.runner_id.startswith(service):
+        if seen.ran and not seen.runner_id.startswith(sent.kind.service):
             yield Broken("routes", seen.attempt_id, f"ran at {seen.runner_id}")
 
 
--- a/bluebellshore/soak/run.py
+++ b/bluebellshore/soak/run.py
@@ -11,6 +11,7 @@
 from bluebellshore.soak.checks import Broken, Record, check
 from bluebellshore.soak.faults import FaultRun
 from bluebellshore.soak.schedule import Schedule
+from bluebellshore.soak.stops import is_late
 from bluebellshore.soak.system import SoakSystem
 
 __all__ = ["Outcome", "run_schedule", "seek_smaller"]
@@ -85,6 +86,7 @@
             ended=[text for router in system.routers for text in router.ended],
             ended_at=time.monotonic(),
             configured_at=system.configured_at,
+            stops=[stop for router in system.routers for stop in router.stops],
         )
         broken = check(record) + silent + _tracebacks(system)
         names = {item.router for item in broken}
@@ -95,6 +97,8 @@
             if router.name in names
         }
     counts = Counter(_ending(sent) for sent in record.sent)
+    counts["late in a stop"] = sum(is_late(sent, record.stops) for sent in record.sent)
+    counts["SIGKILL after SIGTERM"] = sum(stop.killed for stop in record.stops)
     return Outcome(schedule, broken, dict(counts), logs)
 
 
--- a/bluebellshore/soak/schedule.py
+++ b/bluebellshore/soak/schedule.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["Action", "Fault", "Schedule", "draw_schedule"]
+__all__ = ["Action", "Fault", "Schedule", "draw_rolling_stops", "draw_schedule"]
 
 #: Calm time at the begin, in which everything starts to serve.
 LEAD_SECONDS = 1.0
@@ -21,6 +21,14 @@
 #: Share of the series of planned work at a router that have several kinds of it.
 MIXED_SHARE = 0.6
 RUNNERS = 6
+#: Share of the runs with planned work alone that stop all routers in turn, again and
+#: again, the time from one to the next and the longest pause before the next turn.
+ROLLING_SHARE = 0.5
+ROLLING_STEP_SECONDS = 1.1
+ROLLING_PAUSE_SECONDS = 9.0
+#: Share of these stops with other planned work within the time after them.
+BESIDE_SHARE = 0.5
+BESIDE_SECONDS = 8.0
 
 
 class Action(Enum):
@@ -93,6 +101,8 @@
 _PLANNED = frozenset(
     {*_ROUTER_WORK, Action.CONFIGURATION, Action.TOP_UP, Action.SERVER_DRAIN}
 )
+#: What comes beside rolling stops.
+_BESIDE = (Action.ROUTER_RELOAD, Action.ROUTER_SETTINGS, Action.CONFIGURATION)
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -142,8 +152,8 @@
 def draw_schedule(seed: int, seconds: float, routers: int) -> Schedule:
     """Return the schedule of a seed.
 
-    Some runs have all kinds of faults, some a few and some planned work alone: what
-    only shows where the rest is calm.
+    Some runs have all kinds of faults, some a few and some planned work alone, half of
+    these with rolling stops: what only shows where the rest is calm.
 
     :param routers: entry processes.
     """
@@ -170,9 +180,38 @@
                 )
             )
         at += rng.expovariate(1 / mean_pause)
+    stops = random.Random(f"{seed}/stops")
+    if set(actions) == _PLANNED and stops.random() < ROLLING_SHARE:
+        faults += draw_rolling_stops(stops, seconds, routers)
     faults.sort(key=lambda fault: fault.at)
     return Schedule(seed, seconds, routers, tuple(faults))
 
 
+def draw_rolling_stops(rng: random.Random, seconds: float, routers: int) -> list[Fault]:
+    """Return stops of all routers in turn, with signals and changes meanwhile."""
+    faults: list[Fault] = []
+    at = LEAD_SECONDS
+    while at < seconds:
+        for target in rng.sample(range(routers), routers):
+            faults.append(_planned(rng, at, Action.ROUTER_STOP, target))
+            if rng.random() < BESIDE_SHARE:
+                beside = at + rng.uniform(0.0, BESIDE_SECONDS)
+                action = rng.choice(_BESIDE)
+                faults.append(_planned(rng, beside, action, target))
+            at += ROLLING_STEP_SECONDS
+        at += rng.uniform(0.0, ROLLING_PAUSE_SECONDS)
+    return faults
+
+
+def _planned(rng: random.Random, at: float, action: Action, target: int) -> Fault:
+    return Fault(
+        at=round(at, 3),
+        action=action,
+        seconds=MIN_SECONDS,
+        target=target,
+        strength=round(rng.random(), 3),
+    )
+
+
 def _few(rng: random.Random) -> list[Action]:
     return rng.sample(list(Action), rng.randint(*FEW))
--- a/bluebellshore/soak/system.py
+++ b/bluebellshore/soak/system.py
@@ -33,13 +33,25 @@
 )
 from bluebellshore.standin.runner_entries import RunnerEntries
 
-__all__ = ["CUSTOMERS", "HOST", "PAID", "SERVICES", "Router", "Server", "SoakSystem"]
+__all__ = [
+    "CUSTOMERS",
+    "HOST",
+    "LONG_SERVICE",
+    "PAID",
+    "SERVICES",
+    "STOP_SECONDS",
+    "Router",
+    "Server",
+    "SoakSystem",
+    "Stop",
+]
 
 HOST = "api.example"
 PAID = "paid"
 #: Customers and their keys; the first one has no limit.
 CUSTOMERS = {"acme": "key-of-acme", PAID: "key-of-paid"}
 SERVICES = ("plain", "streams")
+LONG_SERVICE = "long"
 #: Prepaid tokens for each second and router: what callers want of them runs out.
 PREPAID_A_SECOND = 150
 TOP_UP = 2_000
@@ -51,6 +63,12 @@
 #: signals and faults find requests in flight.
 FAST_SECONDS, SLOW_SECONDS = 0.03, 0.25
 SLOW = (0, 1)
+#: Time between the events of each further backend server, which no fault touches; the
+#: streams of the last one outlast the grace period.
+LONG_SECONDS = (0.6, 1.8)
+LONG_SLOTS = 64
+#: Settings of the route to them.
+LONG_TIMEOUT_SECONDS, LONG_OBJECTIVE_SECONDS = 20.0, 3.0
 #: Routers whose exchanges go through a proxy; those of many routers would take most of
 #: a processor there.
 PEER_PROXIES = 6
@@ -68,11 +86,26 @@
     """A process that takes its settings from a file only."""
 
 
+@dataclasses.dataclass
+class Stop:
+    """A SIGTERM, in monotonic seconds.
+
+    :param life: of the router's process.
+    :param killed: whether the process had to be ended by SIGKILL.
+    """
+
+    router: str
+    life: int
+    at: float
+    killed: bool = False
+
+
 class Router:
     """An entry instance: its links and the process that runs at present.
 
     :ivar lives: starts so far.
     :ivar ended: ends that nobody asked for, as text.
+    :ivar stops: each first SIGTERM to a process.
     """
 
     def __init__(self, number: int, folder: pathlib.Path):
@@ -88,6 +121,7 @@
         self.process: ManagedProcess | None = None
         self.lives = 0
         self.ended: list[str] = []
+        self.stops: list[Stop] = []
         self.outputs: list[ManagedProcess] = []
         self._lock = asyncio.Lock()
         self._closing = False
@@ -229,6 +263,8 @@
     async def _stop(self, again: float) -> None:
         """Stop the process, with further signals after `again` seconds."""
         process = self.process
+        stop = Stop(self.name, self.lives, time.monotonic())
+        self.stops.append(stop)
         try:
             async with asyncio.timeout(STOP_SECONDS):
                 ending = asyncio.create_task(process.terminate())
@@ -237,6 +273,7 @@
                 await process.terminate()
                 code = await ending
         except TimeoutError:
+            stop.killed = True
             process.wake()
             await process.kill()
             return
@@ -253,7 +290,7 @@
 
     def __init__(self, number: int, entries: RunnerEntries, rng: random.Random):
         self.number = number
-        self.service = SERVICES[number % len(SERVICES)]
+        self.settings = _server_settings(number)
         self._entries = entries
         self._rng = rng
         self._births = 0
@@ -278,15 +315,9 @@
         if not (same_id and self._births):
             self._births += 1
         listen = self._lives[-1].address if self._lives else reserve_address()
-        settings = RunnerSettings(
-            self.service,
-            slots=SLOTS,
-            streaming=self.service == "streams",
-            seconds=SLOW_SECONDS if self.number in SLOW else FAST_SECONDS,
-        )
         runner = StandinRunner(
-            f"{self.service}-{self.number}-{self._births}",
-            settings,
+            f"{self.settings.service}-{self.number}-{self._births}",
+            self.settings,
             self._entries,
             listen=listen,
             advertise=lambda _: self.proxy.address,
@@ -299,6 +330,21 @@
         self._lives.append(runner)
 
 
+def _server_settings(number: int) -> RunnerSettings:
+    if number >= RUNNERS:
+        seconds = LONG_SECONDS[number - RUNNERS]
+        return RunnerSettings(
+            LONG_SERVICE, slots=LONG_SLOTS, streaming=True, seconds=seconds
+        )
+    service = SERVICES[number % len(SERVICES)]
+    return RunnerSettings(
+        service,
+        slots=SLOTS,
+        streaming=service == "streams",
+        seconds=SLOW_SECONDS if number in SLOW else FAST_SECONDS,
+    )
+
+
 class SoakSystem:
     """All parts of a run."""
 
@@ -311,7 +357,7 @@
         self.routers = [Router(number, folder) for number in range(schedule.routers)]
         self.servers = [
             Server(number, self.entries, random.Random(f"{seed}.{number}"))
-            for number in range(RUNNERS)
+            for number in range(RUNNERS + len(LONG_SECONDS))
         ]
         self.number = 0
         #: When the store took each configuration, by number.
@@ -332,6 +378,13 @@
             StandinRoute("/unsafe/", "unsafe", "plain"),
             StandinRoute("/stream/", "streaming", "streams"),
             StandinRoute("/resumed/", "streaming", "streams", resumable=True),
+            StandinRoute(
+                "/long/",
+                "streaming",
+                LONG_SERVICE,
+                timeout_seconds=LONG_TIMEOUT_SECONDS,
+                objective_seconds=LONG_OBJECTIVE_SECONDS,
+            ),
         ]
         routes += [
             StandinRoute(f"/added-{number}/", "safe", "plain")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the fault soak: its schedules, its checks, and short runs."""
 
 import asyncio
+import random
 import unittest
 from unittest import mock
 
@@ -15,9 +16,10 @@
     Action,
     Fault,
     Schedule,
+    draw_rolling_stops,
     draw_schedule,
 )
-from bluebellshore.soak.system import Router
+from bluebellshore.soak.system import STOP_SECONDS, Router, Stop
 from bluebellshore.standin.runner import Arrival
 
 #: Seeds of short runs, with the cause for which each is here.
@@ -40,6 +42,10 @@
 }
 SECONDS = 5.0
 ROUTERS = 2
+#: Seeds of runs with rolling stops, with the cause for which each is here.
+ROLLING_SEEDS = {14: "a request was taken late in a stop on a connection kept open"}
+ROLLING_SECONDS = 6.0
+ROLLING_ROUTERS = 3
 
 
 class ScheduleTest(unittest.TestCase):
@@ -57,6 +63,26 @@
         }
         self.assertEqual(set(Action), drawn)
 
+    def test_rolling_stops_reach_all_routers_again_and_again(self):
+        for seed in range(5):
+            faults = draw_rolling_stops(random.Random(seed), 60.0, 4)
+            stops = [fault for fault in faults if fault.action is Action.ROUTER_STOP]
+            for first in range(0, len(stops), 4):
+                targets = {fault.target for fault in stops[first : first + 4]}
+                self.assertEqual(set(range(4)), targets)
+            self.assertGreater(len(stops), 4)
+            self.assertLess(len(stops), len(faults))
+            self.assertTrue(all(fault.action.planned for fault in faults))
+
+    def test_some_runs_with_planned_work_alone_have_rolling_stops(self):
+        for seed in ROLLING_SEEDS:
+            faults = draw_schedule(seed, ROLLING_SECONDS, ROLLING_ROUTERS).faults
+            alone = draw_rolling_stops(
+                random.Random(f"{seed}/stops"), ROLLING_SECONDS, ROLLING_ROUTERS
+            )
+            self.assertGreater(len(faults), len(alone))
+            self.assertTrue(all(fault.action.planned for fault in faults))
+
     def test_faults_are_left_out_by_position(self):
         schedule = draw_schedule(7, 60.0, 3)
         smaller = schedule.without({0, 2})
@@ -88,10 +114,9 @@
 
 
 def arrival(of, **changes):
-    service = "streams" if of.kind.streams else "plain"
     values = {
         "attempt_id": of.attempt_id,
-        "runner_id": f"{service}-0-1",
+        "runner_id": f"{of.kind.service}-0-1",
         "method": "POST",
         "target": of.path,
         "headers": {"x-tenant": of.customer},
@@ -222,6 +247,72 @@
         unread = self.promises([one], [], happened=[stop])
         self.assertEqual(set(), unread)
 
+    def cut_in_stop(self, at, ended_at, arrivals=("done",), beside=(), **changes):
+        """Return what breaks when a request was cut; times count from SIGTERM."""
+        one = sent(
+            Kind.LONG,
+            at=10.0 + at,
+            written_at=10.0 + at,
+            ended_at=10.0 + ended_at,
+            **{"deadline_seconds": 15.0, "whole": False, "error": "reset"} | changes,
+        )
+        seen = [
+            arrival(
+                one,
+                outcome=outcome,
+                ran=outcome != "full",
+                at=one.at,
+                ended_at=one.ended_at,
+            )
+            for outcome in arrivals
+        ]
+        stop = Fault(0.0, Action.ROUTER_STOP, 1.0)
+        return self.promises(
+            [one],
+            seen,
+            happened=[Happened(stop, 10.0, 30.0), *beside],
+            stops=[Stop("entry-0", 1, 10.0)],
+        )
+
+    def test_request_taken_late_in_a_stop_is_not_cut(self):
+        lost = {"stops lose nothing", "planned work cuts nothing"}
+        end = STOP_SECONDS - 0.5
+        for outcome in ("done", "left", "running"):
+            self.assertEqual(lost, self.cut_in_stop(3.1, end, (outcome,)))
+            self.assertEqual(lost, self.cut_in_stop(6.0, end, (outcome,)))
+        # A deadline that is near is no excuse; one that was reached is.
+        near, reached = end - 6.0 + 0.1, end - 6.0
+        for seconds, expected in ((near, {"stops lose nothing"}), (reached, set())):
+            self.assertEqual(
+                expected, self.cut_in_stop(6.0, end, deadline_seconds=seconds)
+            )
+
+    def test_end_of_the_grace_period_may_cut_what_was_sent_before(self):
+        lost = {"stops lose nothing", "planned work cuts nothing"}
+        end = STOP_SECONDS - 0.5
+        self.assertEqual(set(), self.cut_in_stop(-5.0, end))
+        self.assertEqual(set(), self.cut_in_stop(2.9, end))
+        self.assertEqual(lost, self.cut_in_stop(2.9, STOP_SECONDS * 5 / 6 - 0.1))
+        self.assertEqual({"stops lose nothing"}, self.cut_in_stop(2.9, end, ("full",)))
+
+    def test_stop_excuses_what_a_server_or_other_faults_broke(self):
+        end = STOP_SECONDS - 0.5
+        for outcome in ("lost", "broken", "silent", "ended with its server"):
+            self.assertEqual(set(), self.cut_in_stop(6.0, end, (outcome,)))
+        kill = Happened(Fault(0.0, Action.ROUTER_KILL, 1.0), 12.0, 12.1)
+        self.assertEqual(set(), self.cut_in_stop(6.0, end, beside=[kill]))
+
+    def test_close_of_a_stop_may_cross_a_request_that_is_not_read(self):
+        for kept, seconds, expected in (
+            (True, 0.1, set()),
+            (True, 0.3, {"stops lose nothing"}),
+            (False, 0.3, set()),
+        ):
+            found = self.cut_in_stop(
+                5.0, 5.0 + seconds, (), kept=kept, status=0, signed=False
+            )
+            self.assertEqual(expected, found)
+
     def test_configuration_never_goes_back(self):
         shown = sent(Kind.ADDED, number=3, attempt_id="a-1")
         denied = sent(
@@ -300,6 +391,15 @@
                 self.assertEqual([], outcome.promises, outcome.report())
                 self.assertGreater(outcome.counts["200"], 0)
 
+    def test_requests_late_in_rolling_stops_are_answered_or_not_taken(self):
+        # A stopping router took a request on a kept connection and cut its answer.
+        for seed, cause in ROLLING_SEEDS.items():
+            schedule = draw_schedule(seed, ROLLING_SECONDS, ROLLING_ROUTERS)
+            outcome = asyncio.run(run_schedule(schedule))
+            with self.subTest(cause=cause):
+                self.assertEqual([], outcome.promises, outcome.report())
+                self.assertGreater(outcome.counts["late in a stop"], 0)
+
     def test_schedules_are_messages(self):
         schedule = draw_schedule(3, 30.0, 2)
         encoded = msgspec.json.encode(schedule)
