--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -861,6 +861,51 @@
         "                pass\n",
         "tests.test_store_instances.TableInstancesTest.test_outage_does_not_age_entries",
     ),
+    Mutant(
+        "late-deadline",
+        "deadline of a request that a stopping router begins",
+        "bluebellshore/entry/ingress.py",
+        "and not schedule.accepts(call.deadline, now)",
+        "and False",
+        "tests.test_entry_stops.LateRequestTest"
+        ".test_new_connection_late_in_a_stop_gets_an_answer_or_a_refusal",
+    ),
+    Mutant(
+        "idle-connections",
+        "close of idle connections in a stop",
+        "bluebellshore/entry/connections.py",
+        "            and idle_seconds >= min_seconds\n",
+        "            and idle_seconds < 0\n",
+        "tests.test_entry_stops.LateRequestTest"
+        ".test_kept_connection_is_closed_once_all_requests_are_not_accepted",
+    ),
+    Mutant(
+        "unsent-at-the-end",
+        "refusal of requests that were not sent when a stop ends",
+        "bluebellshore/entry/ingress.py",
+        "            if sent or not trace.attempts:\n",
+        "            if sent and trace.attempts:\n",
+        "tests.test_entry_stops.RemainingRequestTest"
+        ".test_remaining_requests_get_refusals_that_are_true",
+    ),
+    Mutant(
+        "sent-at-the-end",
+        "answer to requests that were sent when a stop ends",
+        "bluebellshore/entry/router.py",
+        "        self._ingress.end_requests(sent=True)\n",
+        "",
+        "tests.test_entry_stops.RemainingRequestTest"
+        ".test_remaining_requests_get_refusals_that_are_true",
+    ),
+    Mutant(
+        "early-signal",
+        "time of a signal that came during the start",
+        "bluebellshore/runtime.py",
+        "        role.stop_requested_at = STARTED_AT\n",
+        "        pass\n",
+        "tests.test_runtime_signals.EarlyStopTest"
+        ".test_time_to_stop_counts_from_a_signal_that_came_during_the_start",
+    ),
 )
 
 
