Let no failure or write in flight keep a stopped router registered

Both calls are waited for now, each failure is logged under its own name, and refresh and removal exclude each other.

--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -205,7 +205,7 @@
         """Stop serving, with time for requests in flight to end.
 
         Accepts all requests until the platform has noticed that the router is not
-        ready, then only such that end in the time left, and closes idle connections.
+        ready, then only those that end in the time left, and closes idle connections.
         Waits for requests in flight, settles budgets, and closes everything within
         `stop_seconds` of the settings.
         """
@@ -259,9 +259,18 @@
         """
         try:
             async with asyncio.timeout_at(close_at):
-                await asyncio.gather(
-                    self._router_registry.deregister(), self._budgets.close()
+                settled, deregistered = await asyncio.gather(
+                    self._budgets.close(),
+                    self._router_registry.deregister(),
+                    return_exceptions=True,
                 )
+            for failure, reason in (
+                (settled, "budgets were not settled; the successor does that"),
+                (deregistered, "the router stays in the registry"),
+            ):
+                if isinstance(failure, Exception):
+                    error = f"{type(failure).__name__}: {failure}"
+                    self._log.notice("stop", reason, error=error)
         except TimeoutError:
             # While the store is out, tokens can't be returned, and those of a request
             # in flight aren't known: the successor settles both.
@@ -276,12 +285,6 @@
                 lost=self._watch.lost,
                 unfinished=self._ingress.active,
             )
-        except Exception as error:
-            self._log.notice(
-                "stop",
-                "budgets were not settled; the successor does that",
-                error=f"{type(error).__name__}: {error}",
-            )
 
     def reload(self) -> None:
         """Read the settings file again. An invalid file changes nothing."""
--- a/bluebellshore/entry/router_registry.py
+++ b/bluebellshore/entry/router_registry.py
@@ -48,6 +48,7 @@
         self._add_addresses = add_addresses
         self._registered_count = 0
         self._leaving = False
+        self._updating = asyncio.Lock()
 
     @property
     def registered_count(self) -> int:
@@ -58,7 +59,8 @@
         """Refresh the registry at intervals until cancelled."""
         while True:
             try:
-                await self._refresh()
+                async with self._updating:
+                    await self._refresh()
             except PlatformError as error:
                 self._log.notice("members", str(error), listed=self._registered_count)
             await asyncio.sleep(REFRESH_SECONDS * random.uniform(0.8, 1.2))
@@ -70,13 +72,17 @@
         """
         self._leaving = True
         try:
-            rows = (await self._table.snapshot(ROUTERS_TABLE)).rows_by_key
-            row = rows.get(self._key)
-            if row is not None and self._is_own_row(row):
-                await self._table.transact([Write(self._key, row.version, None)])
+            async with self._updating:
+                await self._remove_own_row()
         except PlatformError as error:
             self._log.notice("members", str(error), row_left=self._key)
 
+    async def _remove_own_row(self) -> None:
+        rows = (await self._table.snapshot(ROUTERS_TABLE)).rows_by_key
+        row = rows.get(self._key)
+        if row is not None and self._is_own_row(row):
+            await self._table.transact([Write(self._key, row.version, None)])
+
     async def _refresh(self) -> None:
         rows = (await self._table.snapshot(ROUTERS_TABLE)).rows_by_key
         own = rows.get(self._key)
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -110,7 +110,7 @@
         # An unreadable budget row ended the stop before requests in flight were done.
         lines = []
         entry = router.EntryRouter(
-            settings_without_store(stop_seconds=1.6), log=DecisionLog(lines.append)
+            settings_without_store(stop_seconds=60.0), log=DecisionLog(lines.append)
         )
         arrived, failed, gate = asyncio.Event(), asyncio.Event(), asyncio.Event()
 
@@ -124,14 +124,20 @@
             raise msgspec.DecodeError("damaged row")
 
         async with aiohttp.ClientSession() as session:
-            with mock.patch.object(stop_schedule, "ACCEPT_SECONDS", 0.0):
+            with mock.patch.multiple(
+                stop_schedule, ACCEPT_SECONDS=0.0, SETTLE_RESERVE_SECONDS=59.5
+            ):
                 await entry.start()
                 entry._ingress._answer = answer
                 entry._budgets.close = close_budgets
                 task = asyncio.create_task(session.get(f"http://{entry.address}/a"))
                 await arrived.wait()
                 stop = asyncio.create_task(entry.stop())
-                await failed.wait()
+                await asyncio.wait(
+                    {stop, asyncio.create_task(failed.wait())},
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                self.assertFalse(stop.done())
                 gate.set()
                 async with await task as response:
                     self.assertEqual("whole", await response.text())
