Log the prompt parts of requests whose connection broke

The lines of failed attempts did not say what requests that ran during the crashes of backend servers had in common. `sent_again` and `given_up` name the parts of the prompt where the connection broke; with `events` they show whether the answer had begun.

--- a/bluebellshore/decisions/requests.py
+++ b/bluebellshore/decisions/requests.py
@@ -1,5 +1,7 @@
 """Log lines about the decisions on a single request."""
 
+from collections.abc import Sequence
+
 from bluebellshore.decisions.kinds import BudgetOutcome, Kind, Outcome
 from bluebellshore.decisions.rate_limited import Inputs, RateLimitedLog
 
@@ -135,6 +137,7 @@
         attempts_left: int,
         retries_left: float | None = None,
         events: int | None = None,
+        parts: Sequence[str] | None = None,
     ) -> None:
         """Log that a request is retried after an attempt failed.
 
@@ -142,6 +145,7 @@
         :param server: backend server of the attempt that failed.
         :param retries_left: retries left to the service in its retry budget's window.
         :param events: number of events already forwarded to the caller.
+        :param parts: ids of the prompt's parts, where the connection broke.
         """
         self.write_for_request(
             Kind.SENT_AGAIN,
@@ -154,6 +158,7 @@
                 "attempts_left": attempts_left,
                 "retries_left": retries_left,
                 "events": events,
+                "parts": parts and list(parts),
             },
             high_priority=True,
         )
@@ -169,6 +174,7 @@
         seconds_left: float,
         retries_left: float | None = None,
         events: int | None = None,
+        parts: Sequence[str] | None = None,
     ) -> None:
         """Log that an attempt failed and is not retried.
 
@@ -176,6 +182,7 @@
         :param why: why it is not retried, e.g. because it may have run.
         :param retries_left: retries left to the service in its retry budget's window.
         :param events: number of events already forwarded to the caller.
+        :param parts: ids of the prompt's parts, where the connection broke.
         """
         self.write_for_request(
             Kind.GIVEN_UP,
@@ -188,6 +195,7 @@
                 "seconds_left": seconds_left,
                 "retries_left": retries_left,
                 "events": events,
+                "parts": parts and list(parts),
             },
             high_priority=True,
         )
--- a/bluebellshore/entry/attempt_log.py
+++ b/bluebellshore/entry/attempt_log.py
@@ -78,6 +78,8 @@
             "seconds_left": call.deadline - now,
             "events": trace.events or None,
         }
+        if error.reset and call.prompt:
+            fields["parts"] = [part.part_id for part in call.prompt]
         attempts_left = call.route.max_attempts - sends
         if decision is not RetryDecision.GIVE_UP:
             self._log.sent_again(call.attempt_id, attempts_left=attempts_left, **fields)
