Refuse requests with a prompt part that crashes backend servers

One part of a prompt crashed each backend server that began an answer on it. Callers got 502 and 503 for all kinds of requests of the service, as one server after the other was down for some seconds.

Cause: crashes were counted by the hash of the whole request. No two of these requests are alike, so none was known as crashing.

Routers now count crashes by the prompt's parts, except the last. Only requests whose answer had not begun count, as answers that had begun did not crash their server. A part that was in different requests at two crashes and in no answer that began since is blamed; parts that came only together are blamed together. An answer that begins on a part clears it, at peers too. A part that was answered before needs missed answers or four crashes. Blamed parts are probed with one request, later after each crash. Peers tell each other the parts of requests that crashed, also of single broken connections, and the answers on suspected parts, in new fields that older builds ignore.

A router now tells peers all its own requests of a crash that a peer told it of first; before, these were taken as told.

--- /dev/null
+++ b/bluebellshore/entry/crash_messages.py
@@ -0,0 +1,57 @@
+"""Encodes evidence of crashes for peers, and decodes theirs."""
+
+from collections.abc import Iterable, Iterator
+
+from bluebellshore.ids import BackendServerId, ScopedPart
+from bluebellshore.routing.crash_tracker import CrashReport
+from bluebellshore.routing.suspected_parts import AnsweredPart
+from bluebellshore.wire import peer_pb2 as pb
+
+__all__ = [
+    "read_answered_parts",
+    "read_crashes",
+    "write_answered_parts",
+    "write_crashes",
+]
+
+
+def write_crashes(reports: Iterable[CrashReport], state: pb.PeerState) -> None:
+    """Add reports to a message."""
+    for report in reports:
+        messages = state.crashes if report.confirmed else state.broken
+        message = messages.add(
+            server=report.server_id, fingerprints=report.fingerprints
+        )
+        for fingerprint, parts in report.parts_by_fingerprint.items():
+            message.requests.add(fingerprint=fingerprint, parts=parts)
+
+
+def read_crashes(state: pb.PeerState) -> Iterator[CrashReport]:
+    """Yield the reports of a message."""
+    for messages, confirmed in ((state.broken, False), (state.crashes, True)):
+        for message in messages:
+            parts_by_fingerprint = {
+                request.fingerprint: tuple(ScopedPart(part) for part in request.parts)
+                for request in message.requests
+            }
+            yield CrashReport(
+                BackendServerId(message.server),
+                tuple(message.fingerprints),
+                parts_by_fingerprint,
+                confirmed,
+            )
+
+
+def write_answered_parts(
+    answers: Iterable[AnsweredPart], state: pb.PeerState, now: float
+) -> None:
+    """Add answered parts to a message, with their age at `now`."""
+    for answer in answers:
+        age_seconds = max(0.0, now - answer.began_at)
+        state.answered.add(part=answer.part, age_seconds=age_seconds)
+
+
+def read_answered_parts(state: pb.PeerState, now: float) -> Iterator[AnsweredPart]:
+    """Yield the answered parts of a message."""
+    for message in state.answered:
+        yield AnsweredPart(ScopedPart(message.part), now - message.age_seconds)
--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -19,6 +19,7 @@
     result_of,
 )
 from bluebellshore.entry.attempt_log import AttemptLog
+from bluebellshore.entry.crash_guard import CrashGuard
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
 from bluebellshore.entry.request_log import RequestTrace
@@ -29,7 +30,6 @@
     Call,
     RouteKind,
     choose_service,
-    fingerprint_of,
 )
 from bluebellshore.ids import BackendServerId, CustomerId, ServiceName, Tokens
 from bluebellshore.rollouts import MeasuredAttempt
@@ -42,9 +42,6 @@
 
 __all__ = ["Budgets", "Dispatcher"]
 
-#: Retry-After of a request that is refused because it crashes backend servers. The
-#: refusal itself lasts longer; this only keeps the caller from retrying at once.
-CRASH_RETRY_AFTER_SECONDS = 30.0
 #: Longest wait for tokens of a prepaid budget, as a multiple of the latency objective.
 BUDGET_WAIT_OBJECTIVES = 0.5
 #: How long an attempt that may be followed by another waits for the start of its
@@ -81,6 +78,7 @@
 class _CallProgress:
     """State of one call across its attempts.
 
+    :param guard: refuses the call if it crashes backend servers.
     :ivar sends: backend servers that the request was sent to.
     :ivar unreachable: attempts that reached no backend server, or a wrong one.
     :ivar may_have_run: whether some backend server may have run the request.
@@ -90,8 +88,9 @@
         rollouts are not followed.
     """
 
-    def __init__(self, trace: RequestTrace) -> None:
+    def __init__(self, trace: RequestTrace, guard: CrashGuard) -> None:
         self.trace = trace
+        self.guard = guard
         self.sends = 0
         self.unreachable = 0
         self.may_have_run = False
@@ -159,8 +158,9 @@
         :raises RefusedError: the call has no complete answer. Either nothing was
             written to `sink`, or the answer written to it is incomplete.
         """
-        progress = _CallProgress(trace)
-        self._refuse_crashing(call)
+        guard = CrashGuard(self.crash_tracker, call)
+        guard.refuse_crashing(asyncio.get_running_loop().time())
+        progress = _CallProgress(trace, guard)
         self.active += 1
         try:
             async with (
@@ -173,31 +173,6 @@
         finally:
             self.active -= 1
 
-    def _refuse_crashing(self, call: Call) -> None:
-        """Refuse a request that is known to crash backend servers.
-
-        :raises OverloadError: backend servers crashed while they ran this request.
-        """
-        now = asyncio.get_running_loop().time()
-        if self.crash_tracker and self.crash_tracker.should_refuse(
-            fingerprint_of(call), now
-        ):
-            raise OverloadError(
-                "backend servers crashed with this request",
-                step="dispatch.crashes",
-                retry_after=CRASH_RETRY_AFTER_SECONDS,
-            )
-
-    def _record_crash_evidence(
-        self, call: Call, server: BackendServer, error: AttemptError, now: float
-    ) -> None:
-        if error.reset and error.outcome is AttemptOutcome.UNKNOWN:
-            self.crash_tracker.record_broken_connection(
-                server.server_id, fingerprint_of(call), now
-            )
-        elif error.outcome is AttemptOutcome.NOT_SENT and not error.timed_out:
-            self.crash_tracker.record_unreachable(server.server_id, now)
-
     @contextlib.asynccontextmanager
     async def _reserve_budget(
         self, call: Call, progress: _CallProgress
@@ -256,6 +231,10 @@
             try:
                 async with self._take_place(call, service, progress) as admitted:
                     server = admitted.place.server
+                    # The evidence may have come while the request waited.
+                    progress.guard.refuse_crashing(
+                        now(), may_have_run=progress.may_have_run
+                    )
                     self._attempt_log.placed(call, admitted, progress.trace)
                     await self._run_attempt(call, admitted, sink, progress)
                 return
@@ -337,6 +316,7 @@
             progress.attempt = self._rollouts.begin_attempt(call, server, loop.time())
         try:
             request = self._make_request(call, server, progress, loop.time())
+            progress.guard.record_sent(loop.time())
             async with self._backend.send(server, request) as answer:
                 await self._relay_answer(call, answer, sink, progress, admitted)
             progress.sends += 1
@@ -344,11 +324,14 @@
             result = (
                 AttemptResult.FAILED if answer.status >= 500 else AttemptResult.ANSWERED
             )
-            if self.crash_tracker:
-                self.crash_tracker.clear_request(fingerprint_of(call))
+            progress.guard.record_answered(
+                answer.status,
+                is_stream=progress.relay is not None,
+                now=loop.time(),
+            )
         except AttemptError as error:
             result = result_of(error)
-            self._record_crash_evidence(call, server, error, loop.time())
+            progress.guard.record_failed(server.server_id, error, loop.time())
             raise
         finally:
             now = loop.time()
@@ -417,6 +400,7 @@
         def on_event(events: int) -> None:
             nonlocal first_seen
             now = loop.time()
+            progress.guard.record_events(events, now)
             if progress.attempt is not None:
                 progress.attempt.record_events(now, events)
             self._attempt_log.events_received(
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -15,6 +15,12 @@
 import msgspec
 
 from bluebellshore.decisions import Contact, DecisionLog, silent_log
+from bluebellshore.entry.crash_messages import (
+    read_answered_parts,
+    read_crashes,
+    write_answered_parts,
+    write_crashes,
+)
 from bluebellshore.entry.loans import Loan, LoanServer
 from bluebellshore.entry.peer_selection import (
     EXCHANGE_INTERVAL_SECONDS,
@@ -37,6 +43,7 @@
 from bluebellshore.routing.crash_tracker import CrashReport, CrashTracker
 from bluebellshore.routing.load import CachedPart, LoadReport, LoadTracker, ServerLoad
 from bluebellshore.routing.results import ResultCounts
+from bluebellshore.routing.suspected_parts import AnsweredPart
 from bluebellshore.store import Row, TableChange
 from bluebellshore.wire import peer_pb2 as pb
 from bluebellshore.wire import peer_pb2_grpc
@@ -102,6 +109,7 @@
     number: int
     report: LoadReport
     crashes: list[CrashReport]
+    answered: list[AnsweredPart]
 
 
 class PeerExchange(peer_pb2_grpc.PeersServicer):
@@ -185,8 +193,10 @@
             await asyncio.sleep(EXCHANGE_INTERVAL_SECONDS * random.uniform(0.8, 1.2))
             now = time.monotonic()
             self._log_lost_contacts(now)
+            round_before = self._round_number
             report = self._collect_updates()
-            busy = report.loads_by_server or report.parts or report.results_by_server
+            busy = self._round_number != round_before
+            busy = busy or report.loads_by_server
             busy = busy or self._store_lost()
             busy = busy or (self.rollouts is not None and self.rollouts.needs_full_rate)
             # With many peers each one is called rarely anyway.
@@ -207,10 +217,11 @@
         """Keep what is new as a round of updates. :return: the report on load."""
         report = self._loads.take_report()
         crashes = self._crashes.take_reports()
-        if report.parts or report.results_by_server or crashes:
+        answered = self._crashes.take_answered_parts()
+        if report.parts or report.results_by_server or crashes or answered:
             self._round_number += 1
             self._recent_updates.append(
-                _UpdateRound(self._round_number, report, crashes)
+                _UpdateRound(self._round_number, report, crashes, answered)
             )
         return report
 
@@ -243,11 +254,7 @@
             peer.leaving = state.leaving
         now = time.monotonic()
         self._crashes.merge_reports(
-            (
-                CrashReport(BackendServerId(seen.server), tuple(seen.fingerprints))
-                for seen in state.crashes
-            ),
-            now,
+            read_crashes(state), now, read_answered_parts(state, now)
         )
         self._loads.merge_report(incarnation, _decode_load_report(state), now)
         if self.rollouts is not None:
@@ -361,10 +368,8 @@
                 parts_by_server.setdefault(seen.server_id, []).append(seen)
             for server_id, counts in update.report.results_by_server.items():
                 results.setdefault(server_id, ResultCounts()).add(counts)
-            for crash in update.crashes:
-                state.crashes.add(
-                    server=crash.server_id, fingerprints=crash.fingerprints
-                )
+            write_crashes(update.crashes, state)
+            write_answered_parts(update.answered, state, time.monotonic())
         for server_id, parts in parts_by_server.items():
             state.parts.add(
                 server=server_id,
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -13,6 +13,7 @@
 from bluebellshore.entry.admission import Admission
 from bluebellshore.entry.attempt_log import AttemptLog
 from bluebellshore.entry.budgets import CustomerBudgets
+from bluebellshore.entry.crash_log import CrashLog
 from bluebellshore.entry.dispatch import Dispatcher
 from bluebellshore.entry.ejection_log import EjectionLog
 from bluebellshore.entry.ingress import Ingress
@@ -109,7 +110,8 @@
         self._outliers = OutlierDetector()
         self._ejection_log = EjectionLog(self._outliers, self._log)
         self._loads = LoadTracker(self._outliers)
-        self._crashes = CrashTracker()
+        self._crashes = CrashTracker(self.incarnation, self._router_count)
+        self._crash_log = CrashLog(self._crashes, self._log)
         instance_id = InstanceId(settings.instance_id)
         self._peers = PeerExchange(
             address=settings.peer_listen,
@@ -359,6 +361,7 @@
         while True:
             await asyncio.sleep(SERVER_CHECK_SECONDS)
             self._ejection_log.log_changes()
+            self._crash_log.log_changes()
             # Called to drop the entries whose grace period is over.
             self._platform_state.servers_of("", time.monotonic())
             changed_servers, self._platform_state.restarted_or_removed = (
--- a/bluebellshore/fleet/__init__.py
+++ b/bluebellshore/fleet/__init__.py
@@ -1,6 +1,12 @@
 """Domain model: the configuration, the backend servers and callers' requests."""
 
-from bluebellshore.fleet.call import Call, PromptPart, choose_service, fingerprint_of
+from bluebellshore.fleet.call import (
+    Call,
+    PromptPart,
+    choose_service,
+    fingerprint_of,
+    shared_parts_of,
+)
 from bluebellshore.fleet.model import (
     BackendServer,
     Configuration,
@@ -29,6 +35,7 @@
     "ServerState",
     "Service",
     "WeightedService",
-    "fingerprint_of",
     "choose_service",
+    "fingerprint_of",
+    "shared_parts_of",
 ]
--- a/bluebellshore/fleet/call.py
+++ b/bluebellshore/fleet/call.py
@@ -7,9 +7,9 @@
 import xxhash
 
 from bluebellshore.fleet.model import Route
-from bluebellshore.ids import CustomerId, PartId, ServiceName
+from bluebellshore.ids import CustomerId, PartId, ScopedPart, ServiceName
 
-__all__ = ["Call", "PromptPart", "fingerprint_of", "choose_service"]
+__all__ = ["Call", "PromptPart", "choose_service", "fingerprint_of", "shared_parts_of"]
 
 
 class PromptPart(NamedTuple):
@@ -70,6 +70,14 @@
     return digest.hexdigest()
 
 
+def shared_parts_of(call: Call, service: ServiceName) -> tuple[ScopedPart, ...]:
+    """Return the prompt's parts, as read at `service`, that other requests may share.
+
+    The last part belongs to the request itself.
+    """
+    return tuple(ScopedPart(f"{service}/{part.part_id}") for part in call.prompt[:-1])
+
+
 def choose_service(call: Call) -> ServiceName:
     """Choose the service by the route's weights; the same for each try of an attempt.
 
--- a/bluebellshore/ids.py
+++ b/bluebellshore/ids.py
@@ -15,6 +15,7 @@
     "PartId",
     "RequestKey",
     "RouteName",
+    "ScopedPart",
     "ServiceName",
     "StreamId",
     "Tokens",
@@ -51,6 +52,8 @@
 ServiceName = NewType("ServiceName", str)
 #: Id of a part of a prompt; requests that share the part carry the same id.
 PartId = NewType("PartId", str)
+#: A prompt part as read by the backend servers of one service: ``<service>/<part id>``.
+ScopedPart = NewType("ScopedPart", str)
 
 
 def instance_of(incarnation: IncarnationId) -> InstanceId:
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -119,6 +119,32 @@
                 crashes = router.crashes
                 await self.until(lambda c=crashes: c.should_refuse("bad", now()))
 
+    async def test_parts_of_crashes_and_answers_on_them_reach_every_router(
+        self,
+    ) -> None:
+        async with self.routers(3) as routers:
+            for router in routers:
+                await self.until(lambda r=router: len(r.peers.alive()) == 2)
+            now = asyncio.get_running_loop().time
+            for number in range(4):
+                # No router sees by itself that a connection broke in a crash.
+                for router in routers[:2]:
+                    router.crashes.record_broken_connection(
+                        f"s{number}", f"f{number}-{id(router)}", now(), ("p", "q")
+                    )
+            for router in routers:
+                crashes = router.crashes
+                await self.until(
+                    lambda c=crashes: c.should_refuse_parts(("p", "q"), now())
+                )
+            routers[2].crashes.record_answer_began(("p",), now())
+            routers[2].crashes.record_answer_began(("q",), now())
+            for router in routers:
+                crashes = router.crashes
+                await self.until(
+                    lambda c=crashes: not c.should_refuse_parts(("p", "q"), now())
+                )
+
     async def test_router_without_the_store_learns_rows_from_its_peers(self) -> None:
         async with self.routers(2) as routers:
             row = configuration_row(7, 5)
