Clear blamed parts by answers that began after the crash

A part could be refused for half a minute although a request with it had been answered since the last crash: the blame took the time at which the evidence was weighed, at the next request, for that of the crash, so an answer in between did not clear it.

The blame keeps the time of the last crash. The new test failed before.

--- a/bluebellshore/routing/suspected_parts.py
+++ b/bluebellshore/routing/suspected_parts.py
@@ -238,7 +238,8 @@
             in_doubt = len(crashes) < CRASHES_TO_BLAME_DESPITE_DOUBT
             if in_doubt and any(crashes == other for other in others):
                 continue
-            self._blame(parts, now)
+            crashed_at = max(self._requests[number].at for number in numbers)
+            self._blame(parts, now, crashed_at=crashed_at)
 
     def _suspects(self) -> dict[frozenset[int], set[ScopedPart]]:
         """Return the parts that may be blamed, by the requests that they were in."""
@@ -267,14 +268,14 @@
             return True
         return crashes >= CRASHES_TO_BLAME_DESPITE_DOUBT and share <= RARE_SHARE
 
-    def _blame(self, parts: set[ScopedPart], now: float) -> None:
+    def _blame(self, parts: set[ScopedPart], now: float, *, crashed_at: float) -> None:
         if any(blame.parts <= parts for blame in self._blames):
             return
         wider = [blame for blame in self._blames if parts < blame.parts]
         interval = max(
             (blame.interval_seconds for blame in wider), default=PROBE_INTERVAL_SECONDS
         )
-        blame = _Blame(set(parts), now, now, interval, now)
+        blame = _Blame(set(parts), crashed_at, now, interval, now)
         self._schedule_probe(blame, now)
         self._blames = [kept for kept in self._blames if kept not in wider]
         self._blames.append(blame)
--- a/tests/test_routing_suspected_parts.py
+++ b/tests/test_routing_suspected_parts.py
@@ -105,6 +105,14 @@
         self.assertEqual(self.parts.take_answers(), [AnsweredPart("key", 2.0)])
         self.assertEqual(self.parts.take_answers(), [])
 
+    def test_answer_clears_a_part_that_was_blamed_only_afterwards(self):
+        self.crash(1, "p q", now=1.0)
+        self.crash(2, "p q", now=2.0)
+        self.answer("p", now=3.0)
+        self.assertTrue(self.refused("q", now=3.5))
+        self.parts.merge_answers([AnsweredPart("q", 3.0)])
+        self.assertFalse(self.refused("q", now=4.0))
+
     def test_one_probe_at_a_time_and_rarer_after_each_crash(self):
         self.crash(1, "bad", now=1.0)
         self.crash(2, "bad", now=2.0)
