Tell restarted routers which prompt parts are blamed

A router that restarted while requests with a crashing part came sent them until it had seen crashes itself: evidence is told once, in rounds that peers keep for seconds, and a new process needs four crashes as it can't tell yet which parts are in use. Each such router crashed backend servers once more.

A blame is now told to each peer once and, all of them, to each new peer. A peer leaves out the parts on which answers began there after the last crash, and tells the router that blames them.

--- a/bluebellshore/entry/crash_messages.py
+++ b/bluebellshore/entry/crash_messages.py
@@ -4,13 +4,15 @@
 
 from bluebellshore.ids import BackendServerId, ScopedPart
 from bluebellshore.routing.crash_tracker import CrashReport
-from bluebellshore.routing.suspected_parts import AnsweredPart
+from bluebellshore.routing.suspected_parts import AnsweredPart, BlamedParts
 from bluebellshore.wire import peer_pb2 as pb
 
 __all__ = [
     "read_answered_parts",
+    "read_blames",
     "read_crashes",
     "write_answered_parts",
+    "write_blames",
     "write_crashes",
 ]
 
@@ -55,3 +57,25 @@
     """Yield the answered parts of a message."""
     for message in state.answered:
         yield AnsweredPart(ScopedPart(message.part), now - message.age_seconds)
+
+
+def write_blames(
+    blames: Iterable[BlamedParts], state: pb.PeerState, now: float
+) -> None:
+    """Add blamed parts to a message, with the age of their last crash at `now`."""
+    for blame in blames:
+        state.blamed.add(
+            parts=blame.parts,
+            age_seconds=max(0.0, now - blame.crashed_at),
+            interval_seconds=blame.interval_seconds,
+        )
+
+
+def read_blames(state: pb.PeerState, now: float) -> Iterator[BlamedParts]:
+    """Yield the blamed parts of a message."""
+    for message in state.blamed:
+        yield BlamedParts(
+            tuple(ScopedPart(part) for part in message.parts),
+            now - message.age_seconds,
+            message.interval_seconds,
+        )
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -17,8 +17,10 @@
 from bluebellshore.decisions import Contact, DecisionLog, silent_log
 from bluebellshore.entry.crash_messages import (
     read_answered_parts,
+    read_blames,
     read_crashes,
     write_answered_parts,
+    write_blames,
     write_crashes,
 )
 from bluebellshore.entry.loans import Loan, LoanServer
@@ -43,7 +45,7 @@
 from bluebellshore.routing.crash_tracker import CrashReport, CrashTracker
 from bluebellshore.routing.load import CachedPart, LoadReport, LoadTracker, ServerLoad
 from bluebellshore.routing.results import ResultCounts
-from bluebellshore.routing.suspected_parts import AnsweredPart
+from bluebellshore.routing.suspected_parts import AnsweredPart, BlamedParts
 from bluebellshore.store import Row, TableChange
 from bluebellshore.wire import peer_pb2 as pb
 from bluebellshore.wire import peer_pb2_grpc
@@ -110,6 +112,7 @@
     report: LoadReport
     crashes: list[CrashReport]
     answered: list[AnsweredPart]
+    blames: list[BlamedParts]
 
 
 class PeerExchange(peer_pb2_grpc.PeersServicer):
@@ -218,10 +221,12 @@
         report = self._loads.take_report()
         crashes = self._crashes.take_reports()
         answered = self._crashes.take_answered_parts()
-        if report.parts or report.results_by_server or crashes or answered:
+        blames = self._crashes.blames(unreported_only=True)
+        updated = report.parts or report.results_by_server
+        if updated or crashes or answered or blames:
             self._round_number += 1
             self._recent_updates.append(
-                _UpdateRound(self._round_number, report, crashes, answered)
+                _UpdateRound(self._round_number, report, crashes, answered, blames)
             )
         return report
 
@@ -254,7 +259,10 @@
             peer.leaving = state.leaving
         now = time.monotonic()
         self._crashes.merge_reports(
-            read_crashes(state), now, read_answered_parts(state, now)
+            read_crashes(state),
+            now,
+            read_answered_parts(state, now),
+            read_blames(state, now),
         )
         self._loads.merge_report(incarnation, _decode_load_report(state), now)
         if self.rollouts is not None:
@@ -352,6 +360,8 @@
                 held_tokens=load.held_tokens,
             )
         sent = self._round_number if peer is None else peer.last_round_sent
+        if not sent:
+            write_blames(self._crashes.blames(), state, time.monotonic())
         self._write_updates(
             state, [update for update in self._recent_updates if update.number > sent]
         )
@@ -361,6 +371,7 @@
         return state
 
     def _write_updates(self, state: pb.PeerState, updates: list[_UpdateRound]) -> None:
+        now = time.monotonic()
         parts_by_server: dict[BackendServerId, list[CachedPart]] = {}
         results: dict[BackendServerId, ResultCounts] = {}
         for update in updates:
@@ -369,7 +380,8 @@
             for server_id, counts in update.report.results_by_server.items():
                 results.setdefault(server_id, ResultCounts()).add(counts)
             write_crashes(update.crashes, state)
-            write_answered_parts(update.answered, state, time.monotonic())
+            write_answered_parts(update.answered, state, now)
+            write_blames(update.blames, state, now)
         for server_id, parts in parts_by_server.items():
             state.parts.add(
                 server=server_id,
--- a/bluebellshore/routing/crash_tracker.py
+++ b/bluebellshore/routing/crash_tracker.py
@@ -15,7 +15,11 @@
 import msgspec
 
 from bluebellshore.ids import BackendServerId, ScopedPart
-from bluebellshore.routing.suspected_parts import AnsweredPart, SuspectedParts
+from bluebellshore.routing.suspected_parts import (
+    AnsweredPart,
+    BlamedParts,
+    SuspectedParts,
+)
 
 __all__ = ["CrashReport", "CrashTracker"]
 
@@ -96,6 +100,10 @@
     def __len__(self) -> int:
         return len(self._crashes)
 
+    def blames(self, *, unreported_only: bool = False) -> list[BlamedParts]:
+        """Return the blamed sets of parts; afterwards they count as reported."""
+        return self._parts.blames(unreported_only=unreported_only)
+
     @property
     def blamed_parts(self) -> list[frozenset[ScopedPart]]:
         """Sets of prompt parts; requests with all parts of one are refused."""
@@ -202,10 +210,12 @@
         reports: Iterable[CrashReport],
         now: float,
         answered: Iterable[AnsweredPart] = (),
+        blames: Iterable[BlamedParts] = (),
     ) -> None:
         """Add the crashes reported by a peer, without reporting them any further.
 
         :param answered: suspected parts on which the peer saw answers begin.
+        :param blames: what the peer blames.
         """
         for report in reports:
             crash = self._find_or_add_crash(
@@ -220,6 +230,7 @@
                 crash.parts_by_fingerprint[fingerprint] = parts[:MAX_PARTS]
             self._hand_on_evidence(crash, now)
         self._parts.merge_answers(answered)
+        self._parts.merge_blames(blames, now)
 
     def _hand_on_evidence(self, crash: _Crash, now: float) -> None:
         if not (crash.confirmed or crash.routers_differ):
--- a/bluebellshore/routing/suspected_parts.py
+++ b/bluebellshore/routing/suspected_parts.py
@@ -16,7 +16,7 @@
 
 from bluebellshore.ids import ScopedPart
 
-__all__ = ["AnsweredPart", "SuspectedParts"]
+__all__ = ["AnsweredPart", "BlamedParts", "SuspectedParts"]
 
 #: Crashes, each with another request, after which a part is blamed.
 CRASHES_TO_BLAME = 2
@@ -41,6 +41,8 @@
 MAX_PROBE_INTERVAL_SECONDS = 900.0
 #: Routers that share the time between two probes; more of them wait longer.
 ROUTERS_PER_PROBE_INTERVAL = 8
+#: Parts remembered with their last answer.
+MAX_ANSWERED_PARTS = 4096
 #: Blamed sets of parts remembered.
 MAX_BLAMES = 64
 #: Time without requests after which a blame is dropped.
@@ -57,6 +59,18 @@
     began_at: float
 
 
+class BlamedParts(msgspec.Struct, frozen=True):
+    """Parts that are blamed, as told to peers.
+
+    :param crashed_at: monotonic seconds of the last crash.
+    :param interval_seconds: time until a probe.
+    """
+
+    parts: tuple[ScopedPart, ...]
+    crashed_at: float
+    interval_seconds: float
+
+
 class _Request(msgspec.Struct):
     """A request that ran during a crash and whose answer had not begun.
 
@@ -76,6 +90,7 @@
 
     :ivar crashed_at: time of the last crash.
     :ivar used_at: time of the last request.
+    :ivar reported: whether peers were told.
     """
 
     parts: set[ScopedPart]
@@ -83,6 +98,7 @@
     used_at: float
     interval_seconds: float
     probe_at: float
+    reported: bool = False
 
 
 class SuspectedParts:
@@ -104,6 +120,8 @@
         self._recent_uses_by_part: Counter[ScopedPart] = Counter()
         self._answers = 0
         self._to_report: dict[ScopedPart, float] = {}
+        #: When the last known answer on a part began; the oldest entry first.
+        self._answered_at_by_part: dict[ScopedPart, float] = {}
         self._evidence_changed = False
 
     def __len__(self) -> int:
@@ -142,10 +160,10 @@
             for part in oldest:
                 if not self._recent_uses_by_part[part]:
                     del self._recent_uses_by_part[part]
-        if not self._requests and not self._blames:
-            return
         for part in parts:
-            if self._clear(part, began_at):
+            if not self._requests and not self._blames:
+                self._remember_answer(part, began_at)
+            elif self._clear(part, began_at):
                 self._to_report[part] = began_at
         self._evidence_changed = True
 
@@ -154,6 +172,38 @@
         for answer in answers:
             self._clear(answer.part, answer.began_at)
 
+    def blames(self, *, unreported_only: bool = False) -> list[BlamedParts]:
+        """Return the blamed sets of parts; afterwards they count as reported."""
+        found = [
+            blame for blame in self._blames if not (unreported_only and blame.reported)
+        ]
+        for blame in found:
+            blame.reported = True
+        return [
+            BlamedParts(
+                tuple(sorted(blame.parts)), blame.crashed_at, blame.interval_seconds
+            )
+            for blame in found
+        ]
+
+    def merge_blames(self, blames: Iterable[BlamedParts], now: float) -> None:
+        """Add what peers blame, except parts that were answered since the crashes."""
+        for blame in blames:
+            answered = {
+                part: self._answered_at_by_part[part]
+                for part in blame.parts
+                if self._answered_at_by_part.get(part, 0.0) > blame.crashed_at
+            }
+            self._to_report.update(answered)
+            parts = set(blame.parts) - answered.keys()
+            if parts:
+                self._blame(
+                    parts,
+                    now,
+                    crashed_at=min(blame.crashed_at, now),
+                    interval_seconds=blame.interval_seconds,
+                )
+
     def take_answers(self) -> list[AnsweredPart]:
         """Return suspected parts that were answered here since the last call."""
         answers = [AnsweredPart(part, at) for part, at in self._to_report.items()]
@@ -183,10 +233,17 @@
         found = set(parts)
         return [blame for blame in self._blames if blame.parts <= found]
 
+    def _remember_answer(self, part: ScopedPart, began_at: float) -> None:
+        before = self._answered_at_by_part.pop(part, began_at)
+        self._answered_at_by_part[part] = max(before, began_at)
+        if len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
+            del self._answered_at_by_part[next(iter(self._answered_at_by_part))]
+
     def _clear(self, part: ScopedPart, began_at: float) -> bool:
         """Clear a part of crashes before `began_at`. :return: whether it had any."""
         cleared = False
         self._evidence_changed = True
+        self._remember_answer(part, began_at)
         for request in self._requests:
             if request.at < began_at and part in request.parts:
                 request.parts.discard(part)
@@ -268,13 +325,20 @@
             return True
         return crashes >= CRASHES_TO_BLAME_DESPITE_DOUBT and share <= RARE_SHARE
 
-    def _blame(self, parts: set[ScopedPart], now: float, *, crashed_at: float) -> None:
+    def _blame(
+        self,
+        parts: set[ScopedPart],
+        now: float,
+        *,
+        crashed_at: float,
+        interval_seconds: float = PROBE_INTERVAL_SECONDS,
+    ) -> None:
+        """Blame parts, unless some of them are blamed already."""
         if any(blame.parts <= parts for blame in self._blames):
             return
         wider = [blame for blame in self._blames if parts < blame.parts]
-        interval = max(
-            (blame.interval_seconds for blame in wider), default=PROBE_INTERVAL_SECONDS
-        )
+        intervals = [interval_seconds, *(blame.interval_seconds for blame in wider)]
+        interval = min(max(intervals), MAX_PROBE_INTERVAL_SECONDS)
         blame = _Blame(set(parts), crashed_at, now, interval, now)
         self._schedule_probe(blame, now)
         self._blames = [kept for kept in self._blames if kept not in wider]
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -145,6 +145,30 @@
                     lambda c=crashes: not c.should_refuse_parts(("p", "q"), now())
                 )
 
+    # inc2: a router that had restarted sent requests that all others refused.
+    async def test_restarted_router_learns_which_parts_are_blamed(self) -> None:
+        async with self.routers(2) as routers:
+            await self.until(lambda: len(routers[0].peers.alive()) == 1)
+            now = asyncio.get_running_loop().time
+            crashes = routers[0].crashes
+            for number in range(4):
+                server = f"s{number}"
+                crashes.record_broken_connection(server, f"g{number}", now(), ("p",))
+                crashes.record_unreachable(server, now())
+            self.assertTrue(crashes.should_refuse_parts(("p",), now()))
+            await self.until(
+                lambda: routers[1].crashes.should_refuse_parts(("p",), now())
+            )
+            await routers[1].stop()
+            # The rounds in which the crashes were told are no longer kept.
+            routers[0].peers._recent_updates.clear()
+            restarted = GossipRouter("r1", (routers[0].address,), routers[1].address)
+            await restarted.start()
+            routers[1] = restarted
+            await self.until(
+                lambda: restarted.crashes.should_refuse_parts(("p",), now())
+            )
+
     async def test_router_without_the_store_learns_rows_from_its_peers(self) -> None:
         async with self.routers(2) as routers:
             row = configuration_row(7, 5)
--- a/tests/test_routing_suspected_parts.py
+++ b/tests/test_routing_suspected_parts.py
@@ -113,6 +113,18 @@
         self.parts.merge_answers([AnsweredPart("q", 3.0)])
         self.assertFalse(self.refused("q", now=4.0))
 
+    def test_peer_that_is_told_of_a_blame_refuses_too(self):
+        peer = SuspectedParts("r2")
+        self.crash(1, "p q", now=1.0)
+        self.crash(2, "p q", now=2.0)
+        self.assertTrue(self.refused("p", "q", now=2.0))
+        peer.record_answer(("p",), 2.5)
+        peer.merge_blames(self.parts.blames(unreported_only=True), 3.0)
+        self.assertEqual(self.parts.blames(unreported_only=True), [])
+        self.assertTrue(peer.is_refused(("q",), 3.0))
+        self.assertFalse(peer.is_refused(("p",), 3.0))
+        self.assertEqual(peer.take_answers(), [AnsweredPart("p", 2.5)])
+
     def test_one_probe_at_a_time_and_rarer_after_each_crash(self):
         self.crash(1, "bad", now=1.0)
         self.crash(2, "bad", now=2.0)
