Do not take a crashed server's closed connection for an empty stream

An answer may come with neither a length nor chunks and end with its connection. A server that crashes after the head of such a stream closes its connection as well; the caller got an empty stream as complete, and a request that crashed its server was taken for one that it had answered.

A stream that ends with its connection before any event has been broken off, unless it resumes another. If it ends within an event that counts as a broken connection too. Streams that end whole with their connection pass as before.

test_connection_that_ends_before_any_event_is_broken_off and test_stream_that_ends_within_an_event_is_broken_off failed before.

--- a/bluebellshore/backend/answer.py
+++ b/bluebellshore/backend/answer.py
@@ -101,10 +101,14 @@
 
     Leaving the context manager that yielded the answer before the end of the body
     closes the connection, so that the backend server stops working on the request.
+
+    :ivar ends_with_connection: whether only the end of the connection marks the end of
+        the body, so that a body that was cut off may look complete.
     """
 
     status: int
     headers: list[tuple[str, str]]
+    ends_with_connection: bool
 
     def header(self, name: str) -> str:
         """Return the value of a header, or an empty string if it is absent."""
--- a/bluebellshore/backend/direct.py
+++ b/bluebellshore/backend/direct.py
@@ -41,6 +41,9 @@
         self._message = message
         self.status: int = message.code
         self.headers: list[tuple[str, str]] = list(message.headers.items())
+        self.ends_with_connection = not (
+            message.chunked or "Content-Length" in message.headers
+        )
 
     def header(self, name: str) -> str:
         """Return the value of a header, or an empty string if it is absent."""
--- a/bluebellshore/entry/relay.py
+++ b/bluebellshore/entry/relay.py
@@ -125,7 +125,8 @@
         :param on_event: called with the number of events that were received together.
         :param first_event_seconds: longest wait for the first event.
         :raises AttemptError: the stream broke off, exceeded its idle timeout, ended
-            within an event, or has one that is too long.
+            within an event or, with its connection, before any, or has an event that
+            is too long.
         """
         loop = asyncio.get_running_loop()
         splitter = EventSplitter()
@@ -147,7 +148,15 @@
             await self._pass_events_on(answer, events)
             progress_at += loop.time() - received_at
         if splitter.incomplete.strip():
-            raise _stream_error("the stream ended within an event")
+            raise _stream_error(
+                "the stream ended within an event", reset=answer.ends_with_connection
+            )
+        if (
+            answer.ends_with_connection
+            and not self.events
+            and not self._call.last_event_id
+        ):
+            raise _stream_error("the connection ended before any event", reset=True)
         if not self.began:
             await self._start(answer)
         self.complete = True
@@ -211,5 +220,7 @@
         raise _stream_error(str(error)) from error
 
 
-def _stream_error(reason: str) -> AttemptError:
-    return AttemptError(reason, step=STEP, peer="", outcome=AttemptOutcome.UNKNOWN)
+def _stream_error(reason: str, *, reset: bool = False) -> AttemptError:
+    return AttemptError(
+        reason, step=STEP, peer="", outcome=AttemptOutcome.UNKNOWN, reset=reset
+    )
--- a/tests/test_backend_bodies.py
+++ b/tests/test_backend_bodies.py
@@ -63,6 +63,23 @@
                 await self.fetch_body(data)
             self.assertIs(caught.exception.outcome, AttemptOutcome.UNKNOWN)
 
+    async def test_only_an_answer_without_framing_ends_with_its_connection(self):
+        chunked = ("Transfer-Encoding: chunked",)
+        for data, expected in (
+            (answer("a1", b"hello"), False),
+            (answer("a1", b"0\r\n\r\n", headers=chunked, length=None), False),
+            (answer("a1", b"hello", length=None), True),
+        ):
+
+            async def script(peer: Peer, data=data):
+                await peer.head()
+                await peer.send(data)
+
+            async with scripted_server(script) as server:
+                entry = server.instance_entry()
+                async with self.backend.send(entry, request()) as found:
+                    self.assertEqual(found.ends_with_connection, expected)
+
     async def test_reset_of_an_answer_without_length_is_no_end(self):
         with self.assertRaises(AttemptError) as caught:
             await self.fetch_body(answer("a1", b"hello", length=None), reset=True)
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -24,8 +24,9 @@
     status = 200
     headers = []
 
-    def __init__(self, pieces):
+    def __init__(self, pieces, ends_with_connection=False):
         self._pieces = pieces
+        self.ends_with_connection = ends_with_connection
 
     async def chunks(self):
         for seconds, data in self._pieces:
@@ -60,22 +61,24 @@
 
 
 class StreamRelayTest(unittest.TestCase):
-    def relay(self, pieces, write_seconds=0.0):
+    def relay(
+        self, pieces, write_seconds=0.0, ends_with_connection=False, last_event_id=""
+    ):
         """Relay a stream in virtual time. :return: sink, error, events, seconds."""
         sink = RecordingSink(write_seconds)
         route = mock.Mock(
             resumable=False, max_event_gap_seconds=0.0, objective_seconds=0.1
         )
-        relay = StreamRelay(mock.Mock(route=route), sink)
+        call = mock.Mock(route=route, last_event_id=last_event_id)
+        relay = StreamRelay(call, sink)
         counts = []
 
         async def run():
             loop = asyncio.get_running_loop()
             error = None
             try:
-                await relay.run(
-                    ScriptedAnswer(pieces), counts.append, FIRST_EVENT_SECONDS
-                )
+                answer = ScriptedAnswer(pieces, ends_with_connection)
+                await relay.run(answer, counts.append, FIRST_EVENT_SECONDS)
             except AttemptError as caught:
                 error = caught
             return sink, error, sum(counts), loop.time()
@@ -133,6 +136,31 @@
         self.assertIn("longer than", str(error))
         self.assertLess(seconds, 1.0)
 
+    def test_stream_may_end_with_its_connection_after_an_event(self):
+        pieces = [(0.1, event(1)), (0.1, event(2))]
+        sink, error, _, _ = self.relay(pieces, ends_with_connection=True)
+        self.assertIsNone(error)
+        self.assertTrue(sink.finished)
+
+    def test_stream_that_ends_within_an_event_is_broken_off(self):
+        for ends_with_connection in (False, True):
+            with self.subTest(ends_with_connection=ends_with_connection):
+                sink, error, _, _ = self.relay(
+                    [(0.1, event(1)), (0.1, event(2)[:5])],
+                    ends_with_connection=ends_with_connection,
+                )
+                self.assertEqual(error.reset, ends_with_connection)
+                self.assertFalse(sink.finished)
+                self.assertEqual(sink.body, event(1))
+
+    # The closed connection of a crashed server passed for an empty stream.
+    def test_connection_that_ends_before_any_event_is_broken_off(self):
+        sink, error, _, _ = self.relay([], ends_with_connection=True)
+        self.assertTrue(error.reset)
+        self.assertFalse(sink.finished)
+        sink, error, _, _ = self.relay([], ends_with_connection=True, last_event_id="7")
+        self.assertIsNone(error)
+
 
 class EventSplitterTest(unittest.TestCase):
     def test_end_that_comes_in_pieces_is_found(self):
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -42,6 +42,8 @@
     An exception among the chunks is raised, and an event is waited for.
     """
 
+    ends_with_connection = False
+
     def __init__(self, chunks, status=200):
         self.status = status
         self.headers = []
