Date evidence of crashes by the crash, not by its arrival

A peer's evidence took the time at which it arrived. An answer between the crash and the arrival did not clear the part, which could be blamed although a request with it had been answered after all its crashes. test_parts_of_crashes_and_answers _on_them_reach_every_router failed for this in 1 of 3 runs alone and in a run of all tests; not load: the answers had reached the router before the evidence.

Reports carry the age of the crash, and evidence on parts that were answered since is left out.

--- a/bluebellshore/entry/crash_messages.py
+++ b/bluebellshore/entry/crash_messages.py
@@ -17,18 +17,23 @@
 ]
 
 
-def write_crashes(reports: Iterable[CrashReport], state: pb.PeerState) -> None:
-    """Add reports to a message."""
+def write_crashes(
+    reports: Iterable[CrashReport], state: pb.PeerState, now: float
+) -> None:
+    """Add reports to a message, with the age of the crash at `now`."""
     for report in reports:
         messages = state.crashes if report.confirmed else state.broken
+        broke_at = now if report.broke_at is None else report.broke_at
         message = messages.add(
-            server=report.server_id, fingerprints=report.fingerprints
+            server=report.server_id,
+            fingerprints=report.fingerprints,
+            age_seconds=max(0.0, now - broke_at),
         )
         for fingerprint, parts in report.parts_by_fingerprint.items():
             message.requests.add(fingerprint=fingerprint, parts=parts)
 
 
-def read_crashes(state: pb.PeerState) -> Iterator[CrashReport]:
+def read_crashes(state: pb.PeerState, now: float) -> Iterator[CrashReport]:
     """Yield the reports of a message."""
     for messages, confirmed in ((state.broken, False), (state.crashes, True)):
         for message in messages:
@@ -41,6 +46,7 @@
                 tuple(message.fingerprints),
                 parts_by_fingerprint,
                 confirmed,
+                now - message.age_seconds,
             )
 
 
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -259,7 +259,7 @@
             peer.leaving = state.leaving
         now = time.monotonic()
         self._crashes.merge_reports(
-            read_crashes(state),
+            read_crashes(state, now),
             now,
             read_answered_parts(state, now),
             read_blames(state, now),
@@ -379,7 +379,7 @@
                 parts_by_server.setdefault(seen.server_id, []).append(seen)
             for server_id, counts in update.report.results_by_server.items():
                 results.setdefault(server_id, ResultCounts()).add(counts)
-            write_crashes(update.crashes, state)
+            write_crashes(update.crashes, state, now)
             write_answered_parts(update.answered, state, now)
             write_blames(update.blames, state, now)
         for server_id, parts in parts_by_server.items():
--- a/bluebellshore/routing/crash_tracker.py
+++ b/bluebellshore/routing/crash_tracker.py
@@ -46,12 +46,14 @@
     :param fingerprints: requests of the reporting router that ran during the crash.
     :param parts_by_fingerprint: prompt parts of those whose answer had not begun.
     :param confirmed: whether this was a crash and not just one broken connection.
+    :param broke_at: monotonic seconds at which connections broke; None if unknown.
     """
 
     server_id: BackendServerId
     fingerprints: tuple[str, ...]
     parts_by_fingerprint: Mapping[str, tuple[ScopedPart, ...]] = {}
     confirmed: bool = True
+    broke_at: float | None = None
 
 
 class _Crash(msgspec.Struct):
@@ -194,6 +196,7 @@
                     tuple(fingerprints),
                     parts_by_fingerprint,
                     crash.confirmed,
+                    crash.began_at,
                 )
             )
             crash.unreported_broken.clear()
@@ -228,15 +231,18 @@
                 crash.fingerprints.update(report.fingerprints)
             for fingerprint, parts in report.parts_by_fingerprint.items():
                 crash.parts_by_fingerprint[fingerprint] = parts[:MAX_PARTS]
-            self._hand_on_evidence(crash, now)
+            self._hand_on_evidence(crash, now, report.broke_at)
         self._parts.merge_answers(answered)
         self._parts.merge_blames(blames, now)
 
-    def _hand_on_evidence(self, crash: _Crash, now: float) -> None:
+    def _hand_on_evidence(
+        self, crash: _Crash, now: float, broke_at: float | None = None
+    ) -> None:
+        at = crash.began_at if broke_at is None else min(broke_at, crash.began_at)
         if not (crash.confirmed or crash.routers_differ):
             return
         for fingerprint, parts in crash.parts_by_fingerprint.items():
-            self._parts.add_request(crash.number, fingerprint, parts, now)
+            self._parts.add_request(crash.number, fingerprint, parts, now, at)
         crash.parts_by_fingerprint.clear()
 
     def _find_or_add_crash(
--- a/bluebellshore/routing/suspected_parts.py
+++ b/bluebellshore/routing/suspected_parts.py
@@ -133,20 +133,29 @@
         return [frozenset(blame.parts) for blame in self._blames]
 
     def add_request(
-        self, crash: int, fingerprint: str, parts: Iterable[ScopedPart], now: float
+        self,
+        crash: int,
+        fingerprint: str,
+        parts: Iterable[ScopedPart],
+        now: float,
+        crashed_at: float | None = None,
     ) -> None:
         """Record that a request ran during a crash before its answer had begun.
 
         :param crash: number of the crash.
+        :param crashed_at: time of the crash if it isn't `now`.
         """
-        found = set(parts)
+        at = now if crashed_at is None else min(crashed_at, now)
+        found = {
+            part for part in parts if self._answered_at_by_part.get(part, at) <= at
+        }
         if not found:
             return
-        request = _Request(crash, now, fingerprint, found, self._answers)
+        request = _Request(crash, at, fingerprint, found, self._answers)
         self._requests.append(request)
         for blame in self._blames:
             if blame.parts <= found:
-                self._extend(blame, now)
+                self._extend(blame, at, now)
         self._evidence_changed = True
 
     def record_answer(self, parts: Sequence[ScopedPart], began_at: float) -> None:
@@ -255,14 +264,14 @@
         self._blames = [blame for blame in self._blames if blame.parts]
         return cleared
 
-    def _extend(self, blame: _Blame, now: float) -> None:
+    def _extend(self, blame: _Blame, at: float, now: float) -> None:
         """Put off the next probe after a crash."""
         # Requests that were sent before the blame crash soon after it.
-        if now - blame.crashed_at > PROBE_INTERVAL_SECONDS / 2:
+        if at - blame.crashed_at > PROBE_INTERVAL_SECONDS / 2:
             blame.interval_seconds = min(
                 2 * blame.interval_seconds, MAX_PROBE_INTERVAL_SECONDS
             )
-        blame.crashed_at = now
+        blame.crashed_at = max(blame.crashed_at, at)
         self._schedule_probe(blame, now)
 
     def _schedule_probe(self, blame: _Blame, now: float) -> None:
--- a/tests/test_routing_suspected_parts.py
+++ b/tests/test_routing_suspected_parts.py
@@ -125,6 +125,13 @@
         self.assertFalse(peer.is_refused(("p",), 3.0))
         self.assertEqual(peer.take_answers(), [AnsweredPart("p", 2.5)])
 
+    def test_evidence_that_comes_after_a_later_answer_is_void(self):
+        self.answer("p", now=3.0)
+        for number in (1, 2, 3, 4):
+            self.parts.add_request(number, f"g{number}", ("p", "q"), 3.5, 2.0)
+        self.assertFalse(self.refused("p", now=4.0))
+        self.assertTrue(self.refused("q", now=4.0))
+
     def test_one_probe_at_a_time_and_rarer_after_each_crash(self):
         self.crash(1, "bad", now=1.0)
         self.crash(2, "bad", now=2.0)
