--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -15,6 +15,14 @@
 import msgspec
 
 from bluebellshore.decisions import Contact, DecisionLog, silent_log
+from bluebellshore.entry.crash_messages import (
+    read_answered_parts,
+    read_blames,
+    read_crashes,
+    write_answered_parts,
+    write_blames,
+    write_crashes,
+)
 from bluebellshore.entry.loans import Loan, LoanServer
 from bluebellshore.entry.peer_selection import (
     EXCHANGE_INTERVAL_SECONDS,
@@ -37,6 +45,7 @@
 from bluebellshore.routing.crash_tracker import CrashReport, CrashTracker
 from bluebellshore.routing.load import CachedPart, LoadReport, LoadTracker, ServerLoad
 from bluebellshore.routing.results import ResultCounts
+from bluebellshore.routing.suspected_parts import AnsweredPart, BlamedParts
 from bluebellshore.store import Row, TableChange
 from bluebellshore.wire import peer_pb2 as pb
 from bluebellshore.wire import peer_pb2_grpc
@@ -102,6 +111,8 @@
     number: int
     report: LoadReport
     crashes: list[CrashReport]
+    answered: list[AnsweredPart]
+    blames: list[BlamedParts]
 
 
 class PeerExchange(peer_pb2_grpc.PeersServicer):
@@ -185,8 +196,10 @@
             await asyncio.sleep(EXCHANGE_INTERVAL_SECONDS * random.uniform(0.8, 1.2))
             now = time.monotonic()
             self._log_lost_contacts(now)
+            round_before = self._round_number
             report = self._collect_updates()
-            busy = report.loads_by_server or report.parts or report.results_by_server
+            busy = self._round_number != round_before
+            busy = busy or report.loads_by_server
             busy = busy or self._store_lost()
             busy = busy or (self.rollouts is not None and self.rollouts.needs_full_rate)
             # With many peers each one is called rarely anyway.
@@ -207,10 +220,13 @@
         """Keep what is new as a round of updates. :return: the report on load."""
         report = self._loads.take_report()
         crashes = self._crashes.take_reports()
-        if report.parts or report.results_by_server or crashes:
+        answered = self._crashes.take_answered_parts()
+        blames = self._crashes.blames(unreported_only=True)
+        updated = report.parts or report.results_by_server
+        if updated or crashes or answered or blames:
             self._round_number += 1
             self._recent_updates.append(
-                _UpdateRound(self._round_number, report, crashes)
+                _UpdateRound(self._round_number, report, crashes, answered, blames)
             )
         return report
 
@@ -243,11 +259,10 @@
             peer.leaving = state.leaving
         now = time.monotonic()
         self._crashes.merge_reports(
-            (
-                CrashReport(BackendServerId(seen.server), tuple(seen.fingerprints))
-                for seen in state.crashes
-            ),
+            read_crashes(state, now),
             now,
+            read_answered_parts(state, now),
+            read_blames(state, now),
         )
         self._loads.merge_report(incarnation, _decode_load_report(state), now)
         if self.rollouts is not None:
@@ -345,6 +360,8 @@
                 held_tokens=load.held_tokens,
             )
         sent = self._round_number if peer is None else peer.last_round_sent
+        if not sent:
+            write_blames(self._crashes.blames(), state, time.monotonic())
         self._write_updates(
             state, [update for update in self._recent_updates if update.number > sent]
         )
@@ -354,6 +371,7 @@
         return state
 
     def _write_updates(self, state: pb.PeerState, updates: list[_UpdateRound]) -> None:
+        now = time.monotonic()
         parts_by_server: dict[BackendServerId, list[CachedPart]] = {}
         results: dict[BackendServerId, ResultCounts] = {}
         for update in updates:
@@ -361,10 +379,9 @@
                 parts_by_server.setdefault(seen.server_id, []).append(seen)
             for server_id, counts in update.report.results_by_server.items():
                 results.setdefault(server_id, ResultCounts()).add(counts)
-            for crash in update.crashes:
-                state.crashes.add(
-                    server=crash.server_id, fingerprints=crash.fingerprints
-                )
+            write_crashes(update.crashes, state, now)
+            write_answered_parts(update.answered, state, now)
+            write_blames(update.blames, state, now)
         for server_id, parts in parts_by_server.items():
             state.parts.add(
                 server=server_id,
