Play rollouts of versions whose streams are slow in a short order

Cases may have streams now, a part of them that is slow (first event, gaps or all) and a pause between the starts of servers; the draws of the older cases are as before.

--- a/bluebellshore/experiments/rollouts.py
+++ b/bluebellshore/experiments/rollouts.py
@@ -14,7 +14,7 @@
 
 from bluebellshore.entry.platform_state import PlatformState, VersionedOrder
 from bluebellshore.entry.rollouts import RolloutController
-from bluebellshore.experiments.rollout_cases import CASES, Case
+from bluebellshore.experiments.rollout_cases import CASES, Case, RouteLoad, SlowPart
 from bluebellshore.experiments.virtual_time import run_virtual
 from bluebellshore.fleet import (
     BackendServer,
@@ -33,7 +33,7 @@
 )
 from bluebellshore.platform.names import rollout_status_key
 from bluebellshore.platform.rollouts import decode_record, rollout_record_key
-from bluebellshore.rollouts import RolloutReport, RolloutState
+from bluebellshore.rollouts import MeasuredAttempt, RolloutReport, RolloutState
 from bluebellshore.routing.results import AttemptResult
 from bluebellshore.store import MemoryFaults, MemoryTable, Write
 
@@ -49,10 +49,11 @@
 OLD, NEW = VersionName("v1"), VersionName("v2")
 ORDER_VERSION = 7
 SERVERS_EACH = 4
-#: Route names with their share of requests and median time of an answer in seconds.
-ROUTES = {"a": (0.6, 0.08), "b": (0.3, 0.25), "c": (0.1, 0.5)}
-#: Spread of times on one route, as the deviation of their logarithm.
+#: Spread of times on one route, as the deviation of their logarithm; of the number of
+#: a stream's events; and of a stream's mean gap.
 TIME_DEVIATION = 0.4
+EVENTS_DEVIATION = 0.7
+GAP_DEVIATION = 0.15
 EXCHANGE_SECONDS = 0.2
 EXCHANGE_DELAY_SECONDS = 0.02
 STORE_DELAY_SECONDS = 0.02
@@ -60,8 +61,6 @@
 LEAD_SECONDS, TAIL_SECONDS = 2.0, 4.0
 #: Time from the order until the new version is seen; some routers see the order later.
 START_SECONDS = 0.3
-#: Callers leave after this time.
-LEAVE_SECONDS = 6.0
 #: Requests at the new version in the last second, as a part of all, that are load.
 LOAD_PART = 0.4
 #: Bad answers after which a version may get nothing for longer than the bound.
@@ -197,7 +196,10 @@
 
     async def _start_new(self) -> None:
         await asyncio.sleep(START_SECONDS)
-        self.servers.update({s.server_id: s for s in make_servers(NEW, "n")})
+        for server in make_servers(NEW, "n"):
+            self.servers[server.server_id] = server
+            if self.case.start_gap_seconds:
+                await asyncio.sleep(self.case.start_gap_seconds)
 
     async def _disturb(self) -> None:
         case = self.case
@@ -242,11 +244,14 @@
                 group.create_task(self._serve(self.rng.choice(self.routers)))
 
     async def _serve(self, router: _Router) -> None:
-        names = list(ROUTES)
-        weights = [ROUTES[name][0] for name in names]
+        names = list(self.case.routes)
+        weights = [self.case.routes[name].share for name in names]
         route = self.rng.choices(names, weights)[0]
+        leave_seconds = self.case.routes[route].leave_seconds
         self._serial += 1
-        call = make_call(f"{self._seed}-{self._serial}", route, self.now())
+        call = make_call(
+            f"{self._seed}-{self._serial}", route, self.now(), leave_seconds
+        )
         servers = [s for s in self.servers.values() if s.service == SERVICE]
         found = router.rollouts.candidates(call, servers, self.now())
         if not found:
@@ -257,8 +262,8 @@
         result = AttemptResult.CALLER_LEFT
         with self._works(call, server):
             try:
-                async with asyncio.timeout(LEAVE_SECONDS):
-                    result = await self._answer(server, route)
+                async with asyncio.timeout(leave_seconds):
+                    result = await self._answer(server, route, attempt)
             except TimeoutError:
                 result = AttemptResult.CALLER_LEFT
             finally:
@@ -272,33 +277,55 @@
         finally:
             del self._running[call.attempt_id]
 
-    async def _answer(self, server: BackendServer, route: str) -> AttemptResult:
+    async def _answer(
+        self, server: BackendServer, route: str, attempt: MeasuredAttempt
+    ) -> AttemptResult:
         case, now = self.case, self.now()
-        seconds = ROUTES[route][1] * self.rng.lognormvariate(0.0, TIME_DEVIATION)
+        load = case.routes[route]
+        seconds = load.seconds * self.rng.lognormvariate(0.0, TIME_DEVIATION)
+        gaps = self._draw_gaps(load)
         age = now - self._began_at
         fails = 0.0
         if case.trouble and 0.3 < age / case.seconds < 0.5:
             seconds *= 3.0
+            gaps = [3.0 * gap for gap in gaps]
             fails = 0.2
         is_bad = False
         if server.version == NEW:
             seconds *= case.pace
+            gaps = [case.pace * gap for gap in gaps]
             if case.grey and server.server_id == "n0":
                 fails = max(fails, case.grey)
             is_bad = self._is_bad(route, age)
             if is_bad:
                 fails = max(fails, case.fails)
                 if self.rng.random() < case.slow:
-                    seconds *= case.slow_factor
-                    self._count_bad(seconds)
+                    if case.slow_part is not SlowPart.GAPS:
+                        seconds *= case.slow_factor
+                    if case.slow_part is not SlowPart.FIRST_EVENT:
+                        gaps = [case.slow_factor * gap for gap in gaps]
+                    self._count_bad(seconds + sum(gaps))
         if self.rng.random() < fails:
             await asyncio.sleep(seconds * 0.5)
             if is_bad:
                 self._count_bad(0.0)
             return AttemptResult.FAILED
         await asyncio.sleep(seconds)
+        if load.events:
+            attempt.record_events(self.now())
+        for gap in gaps:
+            await asyncio.sleep(gap)
+            attempt.record_events(self.now())
         return AttemptResult.ANSWERED
 
+    def _draw_gaps(self, load: RouteLoad) -> list[float]:
+        """Return the times between a stream's events."""
+        if not load.events:
+            return []
+        events = round(load.events * self.rng.lognormvariate(0.0, EVENTS_DEVIATION))
+        gap = load.gap_seconds * self.rng.lognormvariate(0.0, GAP_DEVIATION)
+        return [gap] * (events - 1)
+
     def _is_bad(self, route: str, age: float) -> bool:
         case = self.case
         if not case.is_bad or case.route not in ("", route):
@@ -344,14 +371,14 @@
         yield BackendServer(name, SERVICE, "h", 1, version=version)
 
 
-def make_call(attempt_id: str, route: str, now: float) -> Call:
+def make_call(attempt_id: str, route: str, now: float, seconds: float = 6.0) -> Call:
     found = Route(
         name=RouteName(route),
         host="h",
         prefix="/",
         kind=RouteKind.SAFE,
         services=(WeightedService(SERVICE),),
-        timeout_seconds=LEAVE_SECONDS,
+        timeout_seconds=seconds,
         objective_seconds=1.0,
     )
     return Call(
@@ -364,7 +391,7 @@
         customer=None,
         priority=0,
         received_at=now,
-        deadline=now + LEAVE_SECONDS,
+        deadline=now + seconds,
     )
 
 
--- a/tests/test_entry_rollouts.py
+++ b/tests/test_entry_rollouts.py
@@ -92,6 +92,26 @@
             with self.subTest(name):
                 self.check_rolled_back(name)
 
+    def test_slow_streams_are_rolled_back_within_a_short_order(self) -> None:
+        """An order that is about as long as a stream of the slow version."""
+        for name in (
+            "slow at once",
+            "slow at once, few requests",
+            "slow gaps at once",
+            "slow first events at once",
+            "slow later",
+            "slow at once, all servers in trouble",
+        ):
+            with self.subTest(name):
+                self.check_rolled_back(f"{name}, streams, short order")
+
+    def test_good_version_with_streams_is_completed(self) -> None:
+        for name in ("good, streams", "good, streams, short order"):
+            with self.subTest(name):
+                case, outcome = self.run_case(name)
+                self.assertEqual(outcome.statuses, [IN_PROGRESS, COMPLETED])
+                self.assertLess(outcome.decided_at, case.seconds)
+
     def test_without_the_store_no_rollout_completes(self) -> None:
         case = Case("good, store out", outage=(0.3, 2.0))
         outcome = run_trial(case, 0)
