Count the gaps of streams while they run in the evidence of rollouts

Cause: the mean gap counted when a stream ended, so the evidence against a slow version came later the slower it was, the ended streams were the short and fast ones, and those that callers gave up counted for nothing. First events had no such gap: they count when overdue.

Now the mean gap of the first 16 events counts as soon as they are there, or sooner when the time since the first event alone makes it longer than the baseline's slow ones. The mean of the whole stream still counts at the end where it is much longer, so that a stream that slows down later shows. All versions are measured alike and no stream counts as slow twice. Callers that leave no longer hide what their streams had shown.

The service shares and the bounds of the verdict are unchanged.

--- a/bluebellshore/rollouts/judge.py
+++ b/bluebellshore/rollouts/judge.py
@@ -43,8 +43,8 @@
 #: Bad answers of the worst server count up to the sum of all other servers' plus this
 #: many, as the trouble of one server is not the version's.
 MAX_OUTLIER_EXCESS = 2
-#: An attempt without an event is overdue beyond this quantile of the baseline's times
-#: to the first event, made longer by the tolerated buckets.
+#: An attempt is overdue beyond this quantile of the baseline's times to the first event
+#: or between events, made longer by the tolerated buckets.
 OVERDUE_QUANTILE = 0.95
 
 
@@ -68,15 +68,20 @@
     return found
 
 
-def overdue_seconds(evidence: RolloutEvidence, now: float) -> dict[RouteName, float]:
-    """Return the time by route after which an attempt without an event is slow.
+def overdue_seconds(
+    evidence: RolloutEvidence, now: float, measure: str = "first"
+) -> dict[RouteName, float]:
+    """Return the time by route beyond which a running attempt is slow.
 
     Routes with too few answers of the baseline are left out.
+
+    :param measure: field of the counts that holds the times by bucket: of the first
+        event, or of the gap between events.
     """
     times: dict[RouteName, Counter[int]] = {}
     for key, counts in evidence.counts_within(now, None).items():
         if not key.is_target:
-            times.setdefault(key.route, Counter()).update(counts.first)
+            times.setdefault(key.route, Counter()).update(getattr(counts, measure))
     shift = TOLERATED_BUCKETS + 1
     return {
         route: bucket_bound_seconds(_quantile_bucket(counts, OVERDUE_QUANTILE) + shift)
--- a/bluebellshore/rollouts/tracker.py
+++ b/bluebellshore/rollouts/tracker.py
@@ -136,7 +136,6 @@
         self._full_share_since: float | None = None
         self._running_attempts: dict[int, MeasuredAttempt] = {}
         self._failed_attempts: dict[str, None] = {}
-        self._overdue_seconds_by_route: dict[str, float] = {}
         self._status_by_peer: dict[IncarnationId, _PeerStatus] = {}
         self._snapshot: RolloutSnapshot | None = None
         self._weight_by_route: dict[RouteName, float] = {}
@@ -294,9 +293,19 @@
         self.evidence.merge_counts(peer, report.counts_by_key, now)
 
     def _analyze(self, now: float) -> None:
-        self._overdue_seconds_by_route = overdue_seconds(self.evidence, now)
+        self._count_running_attempts(now)
+        self._assessment = assess(self.evidence, now)
+        self._weight_by_route = route_weights(self.evidence.counts_within(now, None))
+        if self._assessment.verdict is CanaryVerdict.BAD and not self.bad_reason:
+            self.bad_reason = self._assessment.reason
+
+    def _count_running_attempts(self, now: float) -> None:
+        """Count what the attempts that still run show of their version's speed."""
+        first_limits = overdue_seconds(self.evidence, now, "first")
+        gap_limits = overdue_seconds(self.evidence, now, "gap")
         for attempt in self._running_attempts.values():
-            limit = self._overdue_seconds_by_route.get(attempt.key.route)
+            route = attempt.key.route
+            limit = first_limits.get(route)
             is_waiting = (
                 attempt.first_event_at is None
                 and attempt.is_warm
@@ -304,10 +313,9 @@
             )
             if is_waiting and limit is not None and now - attempt.sent_at > limit:
                 self.evidence.record(attempt.key, attempt.count_overdue(now), now)
-        self._assessment = assess(self.evidence, now)
-        self._weight_by_route = route_weights(self.evidence.counts_within(now, None))
-        if self._assessment.verdict is CanaryVerdict.BAD and not self.bad_reason:
-            self.bad_reason = self._assessment.reason
+            counts = attempt.count_gap(now, gap_limits.get(route))
+            if counts != AttemptCounts():
+                self.evidence.record(attempt.key, counts, now)
 
     def _take_snapshot(
         self, now: float, *, is_store_available: bool
--- a/tests/test_entry_rollouts.py
+++ b/tests/test_entry_rollouts.py
@@ -105,6 +105,10 @@
             with self.subTest(name):
                 self.check_rolled_back(f"{name}, streams, short order")
 
+    def test_slow_streams_show_before_they_end(self) -> None:
+        """A version that slows down later, whose running streams alone show it."""
+        self.check_rolled_back("slow gaps on one route later, streams")
+
     def test_good_version_with_streams_is_completed(self) -> None:
         for name in ("good, streams", "good, streams, short order"):
             with self.subTest(name):
