Count the times of cancelled requests in the evidence of moves

Callers cancel slow answers more often, and once an answer has begun only the router's deadline ends a stream that is too slow, also by a cancel; so the requests that are left to compare are the fast ones, and a version slow enough looks idle rather than slow.

The times to the first token and between tokens that a cancelled request has shown count now, at both versions alike. It is still neither a request nor a failure in the evidence, so criteria on requests and failures are as before.

test_cancelled_stream_shows_its_times fails without the change (no first token counted) and passes with it; the other tests of sidecars and moves pass. How much sooner a move is taken back was not measured.

--- a/bluebellshore/moves/evidence.py
+++ b/bluebellshore/moves/evidence.py
@@ -102,6 +102,24 @@
         counters = self._counters(route, version)
         counters.requests += 1
         counters.failures += not ok
+        self.record_times(route, version, first_token_seconds, between_token_seconds)
+
+    def record_times(
+        self,
+        route: RouteName,
+        version: VersionName,
+        first_token_seconds: float | None = None,
+        between_token_seconds: Sequence[float] = (),
+    ) -> None:
+        """Count the times of a request, which may have been cancelled since.
+
+        A cancelled request is no failure, but callers cancel slow answers more often,
+        so that without its times a slow version would look faster than it is.
+
+        :param first_token_seconds: as in :meth:`record_request`.
+        :param between_token_seconds: as in :meth:`record_request`.
+        """
+        counters = self._counters(route, version)
         if first_token_seconds is not None:
             self.record_first_token(route, version, first_token_seconds)
         if between_token_seconds:
--- a/bluebellshore/sidecar/executor.py
+++ b/bluebellshore/sidecar/executor.py
@@ -184,16 +184,16 @@
             )
 
     def _record_evidence(self, answer: Answer, execution: Execution) -> None:
-        first_token_seconds = execution.first_token_seconds
-        self._evidence.record_request(
-            answer.start.route,
-            answer.start.version,
-            ok=execution.ok and answer.status < MIN_ERROR_STATUS,
-            first_token_seconds=None
-            if execution.overdue_reported
-            else first_token_seconds,
-            between_token_seconds=execution.between_token_seconds,
+        route, version = answer.start.route, answer.start.version
+        first_token_seconds = (
+            None if execution.overdue_reported else execution.first_token_seconds
         )
+        gaps = execution.between_token_seconds
+        if execution.outcome == pb.CANCELLED:
+            self._evidence.record_times(route, version, first_token_seconds, gaps)
+            return
+        ok = execution.ok and answer.status < MIN_ERROR_STATUS
+        self._evidence.record_request(route, version, ok, first_token_seconds, gaps)
 
     def _finish_execution(
         self, answer: Answer, item: QueuedRequest, execution: Execution
@@ -204,7 +204,7 @@
             self.quarantine.record_crash(self.running_fingerprints(), now)
         elif execution.ok:
             self.quarantine.clear_request(answer.start.fingerprint, now)
-        if execution.ran and execution.outcome != pb.CANCELLED:
+        if execution.ran:
             self._record_evidence(answer, execution)
         self.queue.record_finish(item, now, overloaded=execution.overloaded)
         billed = execution.tokens if execution.ok else 0
--- a/tests/test_sidecar_guards.py
+++ b/tests/test_sidecar_guards.py
@@ -11,7 +11,7 @@
 from bluebellshore.operator_port import bind
 from bluebellshore.settings import SidecarSettings
 from bluebellshore.sidecar import Sidecar
-from bluebellshore.sidecar.backend import READ_BYTES
+from bluebellshore.sidecar.backend import EVENT_STREAM_TYPE, READ_BYTES
 from bluebellshore.wire import link_pb2 as pb
 from bluebellshore.wire import link_pb2_grpc
 from bluebellshore.wire.router_link import TOKEN_METADATA_KEY
@@ -27,12 +27,14 @@
     """Plain service that answers once `gate` is set.
 
     :ivar runs: number of executions by request key.
+    :ivar events: events of a stream that come before `gate` is set.
     """
 
     def __init__(self):
         self.gate = asyncio.Event()
         self.runs: Counter[str] = Counter()
         self.body = b"done"
+        self.events: list[bytes] = []
 
     @asynccontextmanager
     async def serve(self):
@@ -46,8 +48,16 @@
             self.gate.set()
             await runner.cleanup()
 
-    async def _answer(self, request: web.Request) -> web.Response:
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
         self.runs[request.headers["x-request-key"]] += 1
+        if self.events:
+            response = web.StreamResponse(headers={"Content-Type": EVENT_STREAM_TYPE})
+            await response.prepare(request)
+            for event in self.events:
+                await response.write(event)
+                await asyncio.sleep(0.01)
+            await self.gate.wait()
+            return response
         await self.gate.wait()
         return web.Response(body=self.body)
 
@@ -237,6 +247,22 @@
             await link.send(cancels=[pb.Cancel(stream=1)])
             await link.round_trip()
 
+    async def test_cancelled_stream_shows_its_times(self):
+        """A caller who gives up a slow stream, as callers of slow versions do."""
+        self.backend.events = [b'data: {"choices":[{"delta":{"content":"x"}}]}\n\n'] * 3
+        async with self.open_link("r1") as link:
+            start = self.make_start("a1", "acme/~k", credit_bytes=10_000)
+            start.price = 0
+            await link.send(starts=[start])
+            size = sum(len(event) for event in self.backend.events)
+            await link.wait_until(lambda: link.data_size() >= size)
+            await link.send(cancels=[pb.Cancel(stream=1, attempt="a1")])
+            await link.wait_until(lambda: not list(self.sidecar._store.unfinished()))
+        (evidence,) = [e for e in self.sidecar._evidence.to_wire() if e.version == "v1"]
+        self.assertEqual((evidence.requests, evidence.failures), (0, 0))
+        self.assertEqual(sum(evidence.first_token_buckets), 1)
+        self.assertEqual(sum(evidence.between_token_buckets), 1)
+
     async def test_stopping_sidecar_refuses_new_requests(self):
         async with self.open_link("r1") as link:
             await link.send(starts=[self.make_start("a1")])
