--- a/bluebellshore/experiments/rollout_cases.py
+++ b/bluebellshore/experiments/rollout_cases.py
@@ -147,4 +147,5 @@
     _hasty("slow first events at once", slow=1.0, slow_part=SlowPart.FIRST_EVENT),
     _hasty("slow later", slow=1.0, bad_from=0.45),
     _hasty("slow at once, all servers in trouble", slow=1.0, trouble=True),
+    _hasty("slow under load", slow=1.0, under_load=True),
 )
--- a/tests/test_entry_rollouts.py
+++ b/tests/test_entry_rollouts.py
@@ -105,6 +105,10 @@
             with self.subTest(name):
                 self.check_rolled_back(f"{name}, streams, short order")
 
+    def test_version_slow_under_load_is_rolled_back_within_a_short_order(self):
+        """All requests are moved for about a second before the completion."""
+        self.check_rolled_back("slow under load, streams, short order")
+
     def test_slow_streams_show_before_they_end(self) -> None:
         """A version that slows down later, whose running streams alone show it."""
         self.check_rolled_back("slow gaps on one route later, streams")
