Call no peer once the exchange between routers has stopped

The next call could also have opened a channel that nobody closes. Calls after the stop are a LinkError now, which repayments expect; the lender's loan lapses as before. test_repayment_after_the_stop_is_a_link_error fails before (no error raised, or another) and passes in 5 of 5 runs; test_entry_peers and test_entry_budgets pass (59).

--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -155,6 +155,7 @@
         self._round_number = 0
         self.peers_by_address: dict[str, Peer] = {}
         self.leaving = False
+        self._stopped = False
         #: Lends this router's tokens; None until the budgets exist.
         self.loan_server: LoanServer | None = None
         #: Source and receiver of reports on rollouts; None until it is set.
@@ -183,7 +184,8 @@
         await self._server.start()
 
     async def stop(self) -> None:
-        """Close all connections and stop listening."""
+        """Close all connections and stop listening; no peer is called any more."""
+        self._stopped = True
         for channel in self._channels.values():
             await channel.close()
         if self._server is not None:
@@ -326,6 +328,10 @@
         return pb.RepaymentReply()
 
     async def _call(self, incarnation: IncarnationId, method: str, request: object):
+        if self._stopped:
+            raise LinkError(
+                "the exchange has stopped", step=f"peers.{method}", peer=incarnation
+            )
         for peer in self.peers_by_address.values():
             if peer.incarnation == incarnation:
                 break
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -6,8 +6,9 @@
 
 from bluebellshore.entry.peers import PeerExchange
 from bluebellshore.entry.platform_state import PlatformState
+from bluebellshore.errors import LinkError
 from bluebellshore.fleet import PromptPart, RouteKind
-from bluebellshore.ids import IncarnationId, InstanceId, PartId
+from bluebellshore.ids import IncarnationId, InstanceId, PartId, Tokens
 from bluebellshore.routing.crash_tracker import CrashTracker
 from bluebellshore.routing.load import LoadTracker
 from bluebellshore.standin.ports import reserve_address
@@ -73,6 +74,15 @@
             for router in routers:
                 await self.until(lambda r=router: len(r.peers.alive()) == 4)
 
+    async def test_repayment_after_the_stop_is_a_link_error(self) -> None:
+        # A request that the stop of the router cut repaid its loan too late.
+        async with self.routers(2) as (first, second):
+            await self.until(lambda: first.peers.serving())
+            peer = first.peers.serving()[0]
+            await first.peers.stop()
+            with self.assertRaises(LinkError):
+                await first.peers.repay(peer, "loan", Tokens(1))
+
     async def test_requests_in_flight_and_cached_parts_reach_every_router(self) -> None:
         async with self.routers(5) as routers:
             for router in routers:
