Begin nothing that may be cut in a stop that came during the start

Cause: since the time of a stop that was requested during the start counts from the start of the process, the signal's time not being known, so its end comes sooner than the platform asks; yet requests of any length were accepted for 2.6 s. Such a router has no callers from the balancer yet, so it begins only requests whose deadline ends in time.

The new test fails before and passes now, with 22 others of the stop.

--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -213,10 +213,14 @@
         """
         loop = asyncio.get_running_loop()
         requested_at = self.stop_requested_at
-        schedule = StopSchedule.begin(
-            loop.time() if requested_at is None else requested_at,
-            self.settings.stop_seconds,
-        )
+        if requested_at is None:
+            schedule = StopSchedule.begin(loop.time(), self.settings.stop_seconds)
+        else:
+            # The platform counts from a later, unknown time: what can't end by itself
+            # would be cut too early. It hasn't sent callers here yet.
+            schedule = StopSchedule.begin(
+                requested_at, self.settings.stop_seconds, accept_seconds=0.0
+            )
         self.stopping = self._peers.leaving = True
         self._ingress.stop_schedule = schedule
         await asyncio.sleep(max(0.0, schedule.accept_until - loop.time()))
--- a/bluebellshore/entry/stop_schedule.py
+++ b/bluebellshore/entry/stop_schedule.py
@@ -40,15 +40,24 @@
     close_at: float
 
     @classmethod
-    def begin(cls, now: float, grace_seconds: float) -> "StopSchedule":
+    def begin(
+        cls,
+        now: float,
+        grace_seconds: float,
+        accept_seconds: float | None = None,
+    ) -> "StopSchedule":
         """Return the schedule of a stop that begins now.
 
         :param grace_seconds: time until the process is killed.
+        :param accept_seconds: time for which all requests are accepted; None for
+            `ACCEPT_SECONDS`.
         """
+        if accept_seconds is None:
+            accept_seconds = ACCEPT_SECONDS
         settle_at = max(now, now + grace_seconds - SETTLE_RESERVE_SECONDS)
         return cls(
             began_at=now,
-            accept_until=min(now + ACCEPT_SECONDS, settle_at),
+            accept_until=min(now + accept_seconds, settle_at),
             settle_at=settle_at,
             close_at=max(now, now + grace_seconds - CLOSE_RESERVE_SECONDS),
         )
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -89,6 +89,16 @@
         self.assertEqual(entry.stop_requested_at, schedule.began_at)
         self.assertEqual(entry.stop_requested_at + 59.5, schedule.close_at)
 
+    async def test_stop_that_was_requested_during_the_start_cuts_no_request(self):
+        # A request was begun whose time ended sooner than the platform allows.
+        entry = router.EntryRouter(settings_without_store(stop_seconds=60.0))
+        await entry.start()
+        entry.stop_requested_at = now = asyncio.get_running_loop().time()
+        await entry.stop()
+        schedule = entry._ingress.stop_schedule
+        self.assertFalse(schedule.accepts(schedule.settle_at + 0.1, now))
+        self.assertTrue(schedule.accepts(schedule.settle_at - 0.1, now))
+
     async def test_router_without_store_stops_in_time_and_logs_the_steps(self):
         lines = []
         settings = settings_without_store()
