Log and count the rate limits that backend servers name

Routers now read it from every valid answer, refusals included, log a change as the beliefs `limited` and `unlimited`, and count limited servers in a metric. Nothing is placed differently yet.

--- a/bluebellshore/backend/__init__.py
+++ b/bluebellshore/backend/__init__.py
@@ -7,6 +7,7 @@
     AttemptOutcome,
     Backend,
     BackendRequest,
+    Backpressure,
 )
 
 __all__ = [
@@ -15,5 +16,6 @@
     "AttemptError",
     "Backend",
     "BackendRequest",
+    "Backpressure",
     "AttemptOutcome",
 ]
--- a/bluebellshore/backend/answer.py
+++ b/bluebellshore/backend/answer.py
@@ -15,6 +15,7 @@
     "AnswerHeaders",
     "AttemptError",
     "Backend",
+    "Backpressure",
     "BackendRequest",
     "AttemptOutcome",
 ]
@@ -75,6 +76,16 @@
     signature: str
 
 
+class Backpressure(msgspec.Struct, frozen=True):
+    """What a backend server's answer asks of its senders.
+
+    :param requests_per_second: rate of requests that it takes from all senders
+        together; None for no limit.
+    """
+
+    requests_per_second: float | None = None
+
+
 class BackendRequest(msgspec.Struct, frozen=True):
     """A request to a backend server.
 
--- a/bluebellshore/backend/direct.py
+++ b/bluebellshore/backend/direct.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
 
 from aiohttp.http_parser import RawResponseMessage
@@ -12,6 +12,7 @@
     AttemptError,
     AttemptOutcome,
     BackendRequest,
+    Backpressure,
 )
 from bluebellshore.backend.connection import (
     Connection,
@@ -65,6 +66,9 @@
     :param max_connections: returns the most connections that this process may have to
         a backend server.
     :param connect_timeout_seconds: longest time that opening a connection may take.
+    :param read_backpressure: reads the status and the headers of an answer.
+    :param on_backpressure: called for each answer with its server, what it asks for,
+        and the monotonic seconds at which its request was sent.
     """
 
     def __init__(
@@ -73,8 +77,16 @@
         *,
         max_connections: Callable[[BackendServer], int],
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        read_backpressure: Callable[
+            [int, Mapping[str, str]], Backpressure
+        ] = lambda status, headers: Backpressure(),
+        on_backpressure: Callable[
+            [BackendServer, Backpressure, float], None
+        ] = lambda server, backpressure, sent_at: None,
     ):
         self._headers = headers
+        self._read_backpressure = read_backpressure
+        self._on_backpressure = on_backpressure
         self._max_connections = max_connections
         self._context = ConnectionContext(headers.attempt, connect_timeout_seconds)
         #: Each pool with the host, port and start time of the server it belongs to.
@@ -95,11 +107,12 @@
         limit = self._max_connections(server)
         try:
             async with pool.lease(request.attempt_id, limit, deadline) as connection:
+                sent_at = asyncio.get_running_loop().time()
                 connection.send_request(
                     head, request.body, request.attempt_id, request.method
                 )
                 message = await self._read_head(connection, server, deadline)
-                await self._check_head(connection, server, message)
+                await self._check_head(connection, server, message, sent_at)
                 yield DirectAnswer(connection, message)
         finally:
             if (
@@ -174,6 +187,7 @@
         connection: Connection,
         server: BackendServer,
         message: RawResponseMessage,
+        sent_at: float,
     ) -> None:
         """Check that the head is the backend server's answer to this request.
 
@@ -204,6 +218,9 @@
             self._headers.signature not in headers or "Content-Encoding" in headers
         ):
             reason = "not the backend server's answer"
+        if not reason or outcome is AttemptOutcome.NOT_RUN:
+            backpressure = self._read_backpressure(status, headers)
+            self._on_backpressure(server, backpressure, sent_at)
         if reason:
             if outcome is AttemptOutcome.UNKNOWN:
                 connection.prevent_reuse()
--- a/bluebellshore/decisions/kinds.py
+++ b/bluebellshore/decisions/kinds.py
@@ -123,6 +123,9 @@
     SUSPECTED = "suspected"
     #: No longer suspected.
     TRUSTED = "trusted"
+    #: The server names a rate that it takes from all routers together.
+    LIMITED = "limited"
+    UNLIMITED = "unlimited"
 
 
 class Contact(Enum):
--- a/bluebellshore/entry/metrics.py
+++ b/bluebellshore/entry/metrics.py
@@ -100,6 +100,9 @@
         self._peers = self._gauge("peers_alive", "Routers in contact.")
         self._servers = self._gauge("servers_usable", "Backend servers usable.")
         self._suspected = self._gauge("servers_suspected", "Backend servers suspected.")
+        self._limited = self._gauge(
+            "servers_limited", "Backend servers that name a limit of their rate."
+        )
         self._configuration = self._gauge("configuration_number", "In force; 0: none.")
         self._configuration_age = self._gauge(
             "configuration_age_seconds", "Time since the store last confirmed it."
@@ -200,11 +203,15 @@
         self._active.set(active)
         self._queued.set(waiting)
 
-    def set_fleet(self, *, peers: int, servers: int, suspected: int = 0) -> None:
+    def set_fleet(
+        self, *, peers: int, servers: int, suspected: int = 0, limited: int = 0
+    ) -> None:
         """Set the numbers of known routers and backend servers.
 
         :param suspected: backend servers ejected as outliers.
+        :param limited: backend servers that name a limit of their rate.
         """
+        self._limited.set(limited)
         self._peers.set(peers)
         self._servers.set(servers)
         self._suspected.set(suspected)
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -8,8 +8,9 @@
 from aiohttp import web
 
 from bluebellshore import STARTED_AT
+from bluebellshore.backend import Backpressure
 from bluebellshore.backend.direct import DirectBackend
-from bluebellshore.decisions import DecisionLog, open_decision_log, silent_log
+from bluebellshore.decisions import Belief, DecisionLog, open_decision_log, silent_log
 from bluebellshore.entry.admission import Admission
 from bluebellshore.entry.attempt_log import AttemptLog
 from bluebellshore.entry.budgets import CustomerBudgets
@@ -37,10 +38,15 @@
     Tokens,
     ZoneName,
 )
-from bluebellshore.platform.requests import ANSWER_HEADERS, backend_headers
+from bluebellshore.platform.requests import (
+    ANSWER_HEADERS,
+    backend_headers,
+    read_backpressure,
+)
 from bluebellshore.platform.settings import load_settings
 from bluebellshore.platform.store import PlatformStore
 from bluebellshore.rollouts import ExposureLimit
+from bluebellshore.routing.backpressure import BackpressureTracker
 from bluebellshore.routing.crash_tracker import CrashTracker
 from bluebellshore.routing.load import LoadTracker
 from bluebellshore.routing.outlier_detection import OutlierDetector
@@ -132,8 +138,12 @@
             self._peers.add_addresses,
             self._log,
         )
+        self._backpressure = BackpressureTracker()
         self._backend = DirectBackend(
-            ANSWER_HEADERS, max_connections=self._max_connections
+            ANSWER_HEADERS,
+            max_connections=self._max_connections,
+            read_backpressure=read_backpressure,
+            on_backpressure=self._record_backpressure,
         )
         self._budgets = CustomerBudgets(
             self._store,
@@ -379,6 +389,7 @@
             peers=len(self._peers.alive()),
             servers=platform_state.count_ready(),
             suspected=len(self._outliers.ejected()),
+            limited=self._backpressure.limited_count,
         )
         metrics.set_configuration(
             0 if configuration is None else configuration.number,
@@ -410,6 +421,19 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._loads.configure(configuration.services_by_name.values())
 
+    def _record_backpressure(
+        self, server: BackendServer, stated: Backpressure, sent_at: float
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._backpressure.record_answer(server, stated, sent_at, now):
+            rate = stated.requests_per_second
+            self._log.backend_server(
+                server.server_id,
+                Belief.UNLIMITED if rate is None else Belief.LIMITED,
+                reason="stated in its answer",
+                inputs={"requests_per_second": rate},
+            )
+
     def _prepaid_total(self, customer: CustomerId) -> Tokens | None:
         configuration = self._platform_state.configuration
         if configuration is None:
--- a/bluebellshore/platform/names.py
+++ b/bluebellshore/platform/names.py
@@ -13,6 +13,7 @@
     "RESERVED_HEADERS",
     "PRIORITY_HEADER",
     "PROMPT_HEADER",
+    "RATE_LIMIT_HEADER",
     "ROLLOUT_ORDER_PREFIX",
     "SERVERS_TABLE",
     "SIGNATURE_HEADER",
@@ -43,6 +44,8 @@
 PROMPT_HEADER = "X-Prompt-Prefix"
 #: Priority of a request to a backend server, 0 (most urgent) to 9.
 PRIORITY_HEADER = "X-Request-Priority"
+#: Requests a second that a backend server takes from all routers together.
+RATE_LIMIT_HEADER = "Server-Limit"
 #: Id of the last event received, at which a stream is resumed.
 EVENT_ID_HEADER = "Last-Event-Id"
 
--- a/bluebellshore/platform/requests.py
+++ b/bluebellshore/platform/requests.py
@@ -1,10 +1,11 @@
 """Decodes headers of callers' requests and builds those for backend servers."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
 
-from bluebellshore.backend import AnswerHeaders
+from bluebellshore.backend import AnswerHeaders, Backpressure
 from bluebellshore.errors import RequestError
 from bluebellshore.fleet import BackendServer, Call, PromptPart
 from bluebellshore.ids import PartId
@@ -18,13 +19,20 @@
     NOT_RUN_HEADER,
     PRIORITY_HEADER,
     PROMPT_HEADER,
+    RATE_LIMIT_HEADER,
     RESERVED_HEADERS,
     SIGNATURE_HEADER,
     TENANT_HEADER,
     TOKENS_HEADER,
 )
 
-__all__ = ["ANSWER_HEADERS", "RequestHead", "attempt_id_of", "backend_headers"]
+__all__ = [
+    "ANSWER_HEADERS",
+    "RequestHead",
+    "attempt_id_of",
+    "backend_headers",
+    "read_backpressure",
+]
 
 STEP = "request.decode"
 #: Headers, in lower case, that are not forwarded since they concern one connection or
@@ -138,6 +146,23 @@
     return headers
 
 
+def read_backpressure(status: int, headers: Mapping[str, str]) -> Backpressure:
+    """Return what a backend server's answer asks of its senders.
+
+    :param headers: case-insensitive mapping, not validated. A value that is no number
+        counts as absent.
+    """
+    return Backpressure(_parse_limit(headers.get(RATE_LIMIT_HEADER, "")))
+
+
+def _parse_limit(value: str) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
 def _single_value(values: dict[str, list[str]], name: str) -> str:
     found = values.get(name.lower(), [])
     if len(found) > 1:
--- a/bluebellshore/standin/runner.py
+++ b/bluebellshore/standin/runner.py
@@ -109,6 +109,8 @@
     :ivar arrivals: all requests that arrived, refused ones as well.
     :ivar faults: faults of the next runs, one each.
     :ivar gate: runs do not end while it is clear.
+    :ivar requests_per_second: rate that its answers name for all routers together;
+        None for no limit. It refuses nothing because of it.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         self.draw_fault: Callable[[], RunnerFault | None] = lambda: None
         self.gate = asyncio.Event()
         self.gate.set()
+        self.requests_per_second: float | None = None
         self.state = "ready"
         #: Whether heartbeats reach the store.
         self.heard = True
@@ -337,11 +340,14 @@
         return web.Response(status=status, body=body, headers=self._headers(seen))
 
     def _headers(self, seen: Arrival) -> dict[str, str]:
-        return {
+        headers = {
             ATTEMPT: seen.attempt_id,
             "X-Runner-Signature": f"{self.runner_id}.{self._born}.{seen.attempt_id}",
             "X-Runner-Id": self.runner_id,
         }
+        if self.requests_per_second is not None:
+            headers["Server-Limit"] = str(self.requests_per_second)
+        return headers
 
 
 def _reset(transport: asyncio.Transport, *, gently: bool = False) -> None:
--- /dev/null
+++ b/tests/test_entry_backpressure.py
@@ -0,0 +1,78 @@
+"""Tests of routers before backend servers that limit what they take."""
+
+import unittest
+
+from bluebellshore.backend import Backpressure
+from bluebellshore.load.fleet import wait_until
+from bluebellshore.platform.requests import read_backpressure
+from bluebellshore.routing.backpressure import BackpressureTracker
+from tests.entry_fixtures import server
+from tests.entry_system import EntryTestCase
+
+
+class ReadBackpressureTest(unittest.TestCase):
+    def test_limit_is_a_decimal_number(self):
+        stated = read_backpressure(200, {"Server-Limit": "2.4"})
+        self.assertEqual(2.4, stated.requests_per_second)
+
+    def test_malformed_limit_counts_as_none(self):
+        for value in ("", "many", "nan", "inf", "-1"):
+            with self.subTest(value):
+                stated = read_backpressure(200, {"Server-Limit": value})
+                self.assertIsNone(stated.requests_per_second)
+
+
+class BackpressureTrackerTest(unittest.TestCase):
+    def test_limit_holds_until_a_later_request_is_answered_without_one(self):
+        tracker, limited = BackpressureTracker(), server("a")
+        self.assertTrue(tracker.record_answer(limited, Backpressure(2.0), 0.0, 1.0))
+        self.assertEqual(2.0, tracker.limit_of(limited))
+        self.assertFalse(tracker.record_answer(limited, Backpressure(), 0.5, 1.5))
+        self.assertEqual(2.0, tracker.limit_of(limited))
+        self.assertTrue(tracker.record_answer(limited, Backpressure(), 1.1, 1.6))
+        self.assertIsNone(tracker.limit_of(limited))
+
+    def test_limit_ends_with_a_restart_of_the_server(self):
+        tracker = BackpressureTracker()
+        first = server("a", started_unix_ms=1)
+        tracker.record_answer(first, Backpressure(2.0), 0.0, 1.0)
+        self.assertIsNone(tracker.limit_of(server("a", started_unix_ms=2)))
+
+
+class RateLimitTest(EntryTestCase):
+    async def start_routers(self, count):
+        """Start routers that know each other, before two servers of each service."""
+        instances = [self.make_instance(f"entry-{number}") for number in range(count)]
+        for instance in instances:
+            instance.write(peers=tuple(other.peer for other in instances))
+        self.configure()
+        for service in ("plain", "streams"):
+            for name in ("a", "b"):
+                await self.add_runner(f"{service}-{name}", service, slots=64)
+        for instance in instances:
+            await self.start_router(instance)
+        await self.wait_until_synced(*instances)
+        await wait_until(
+            lambda: all(
+                len(instance.router.snapshot()["peers"]) == count - 1
+                for instance in instances
+            ),
+            "the routers to know each other",
+        )
+        return instances
+
+    async def test_router_reports_a_named_limit_and_its_end(self):
+        (instance,) = await self.start_routers(1)
+        limited = self.runners[0]
+        limited.requests_per_second = 1000.0
+        gauge = "bluebellshore_servers_limited"
+
+        async def sees(count):
+            await self.call(instance, "/safe/a")
+            instance.router._set_gauges()
+            value = instance.router._metrics.registry.get_sample_value(gauge)
+            return value == count
+
+        await wait_until(lambda: sees(1.0), "the limit to be seen")
+        limited.requests_per_second = None
+        await wait_until(lambda: sees(0.0), "its end to be seen")
