--- a/tests/test_entry_backpressure.py
+++ b/tests/test_entry_backpressure.py
@@ -1,5 +1,7 @@
 """Tests of routers before backend servers that limit what they take."""
 
+import asyncio
+import time
 import unittest
 
 from bluebellshore.backend import Backpressure
@@ -9,6 +11,28 @@
 from tests.entry_fixtures import server
 from tests.entry_system import EntryTestCase
 
+#: Window and slack in which a limit is judged: a half more than it allows in the
+#: window, and some requests.
+WINDOW_SECONDS, EXCESS_RATIO, EXTRA_REQUESTS = 4.0, 1.5, 5
+#: Time after a router passed on an answer with the limit, before which its requests
+#: don't count.
+TOLD_SLACK_SECONDS = 0.5
+
+
+def most_allowed(requests_per_second):
+    """Return the requests that a limited server may get within the window."""
+    return EXCESS_RATIO * WINDOW_SECONDS * requests_per_second + EXTRA_REQUESTS
+
+
+def most_in_window(times):
+    """Return the largest number of `times`, in seconds, within the window."""
+    times, most, first = sorted(times), 0, 0
+    for last, at in enumerate(times):
+        while at - times[first] > WINDOW_SECONDS:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
 
 class ReadBackpressureTest(unittest.TestCase):
     def test_limit_is_a_decimal_number(self):
@@ -76,3 +100,37 @@
         await wait_until(lambda: sees(1.0), "the limit to be seen")
         limited.requests_per_second = None
         await wait_until(lambda: sees(0.0), "its end to be seen")
+
+    async def test_routers_exceed_the_limit_that_a_server_named(self):
+        # Each router sees its own requests only, but the limit is for their sum.
+        instances = await self.start_routers(3)
+        limited, seconds = self.runners[0], 7.0
+        limited.requests_per_second = 1.5
+        told_at = {}
+        sender_by_attempt = {}
+
+        async def send(instance):
+            attempt = self.new_attempt_id()
+            sender_by_attempt[attempt] = instance.name
+            _, headers, _ = await self.call(
+                instance, "/safe/a", headers=self.headers(attempt)
+            )
+            if "Server-Limit" in headers:
+                told_at.setdefault(instance.name, time.monotonic())
+
+        ends_at = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < ends_at:
+                for instance in instances:
+                    group.create_task(send(instance))
+                await asyncio.sleep(0.1)
+        counted = [
+            seen.at
+            for seen in limited.arrivals
+            if seen.at
+            > told_at.get(sender_by_attempt[seen.attempt_id], seen.at)
+            + TOLD_SLACK_SECONDS
+        ]
+        allowed = most_allowed(limited.requests_per_second)
+        self.assertLessEqual(most_in_window(counted), allowed)
+        self.assertTrue(counted, "no router uses the rate that is left")
