Have a few routers share the rate that a backend server names, and the others none

Callers saw nothing; the servers in need got 22 requests in 4 s where 19 were allowed. Cause: nothing read the limit, and each router decides alone while the limit is for the sum. Routers now take it from answers and from each other's exchanges, with its age and the server's start, and by rendezvous hashing a few of them share it: two, and one for each request a second. A router that started, stood still, leaves or reaches no majority sends nothing there; a request that no limit allows is refused at once.

--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -1,7 +1,7 @@
 """Admission control: assigns each request a backend server, at once or after a wait."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 
 import msgspec
@@ -10,13 +10,14 @@
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.rollouts import RolloutController
 from bluebellshore.errors import OverloadError
-from bluebellshore.fleet import Call
+from bluebellshore.fleet import BackendServer, Call
 from bluebellshore.ids import BackendServerId, ServiceName
+from bluebellshore.routing.backpressure import BackpressureTracker
 from bluebellshore.routing.load import LoadSnapshot, LoadTracker, Ticket
 from bluebellshore.routing.outlier_detection import OutlierDetector
 from bluebellshore.routing.placement import Placement, PlacementRefusal, Placer, Wait
 from bluebellshore.routing.results import AttemptResult
-from bluebellshore.routing.waiting import WaitingQueue
+from bluebellshore.routing.waiting import MAX_WAIT_OBJECTIVES, WaitingQueue
 
 __all__ = ["Admission", "AdmittedAttempt"]
 
@@ -26,6 +27,8 @@
 #: Pause between checks of the waiting requests. A place that frees because a request of
 #: another router ended causes no event here.
 POLL_SECONDS = 0.03
+#: Retry-After when backend servers limit their rate and other routers share it.
+LIMITED_RETRY_AFTER_SECONDS = 1.0
 
 
 class AdmittedAttempt(msgspec.Struct, frozen=True):
@@ -95,7 +98,9 @@
         outliers: OutlierDetector,
         log: DecisionLog | None = None,
         rollouts: RolloutController | None = None,
+        backpressure: BackpressureTracker | None = None,
     ):
+        self._backpressure = backpressure or BackpressureTracker()
         self._log = log or silent_log()
         self._platform_state = platform_state
         self._loads = loads
@@ -185,6 +190,7 @@
         place = choice.decision
         view = self._loads.snapshot_of(place.server.server_id, now)
         ticket = self._loads.begin(call, place.server, now)
+        self._backpressure.record_sent(place.server)
         return _StartedAttempt(place, ticket, choice.usable or 0, view)
 
     async def _wait(
@@ -248,10 +254,44 @@
         if self._rollouts is not None:
             servers = self._rollouts.candidates(call, servers, now)
         usable = self._outliers.usable(servers, now)
-        decision = self._placer.place(call, usable, now, tried)
+        allowed, wait_seconds = self._allowed(usable, now)
+        if usable and not allowed:
+            decision = self._hold_back(call, wait_seconds)
+            return _Choice(decision, len(servers), len(allowed))
+        decision = self._placer.place(call, allowed, now, tried)
         if isinstance(decision, PlacementRefusal) and tried:
-            decision = self._placer.place(call, usable, now)
-        return _Choice(decision, len(servers), len(usable))
+            decision = self._placer.place(call, allowed, now)
+        return _Choice(decision, len(servers), len(allowed))
+
+    def _allowed(
+        self, servers: Sequence[BackendServer], now: float
+    ) -> tuple[list[BackendServer], float | None]:
+        """Return the servers whose limits allow a request of this router now.
+
+        :return: also the seconds until another one does; None if that is unknown.
+        """
+        allowed: list[BackendServer] = []
+        next_seconds: float | None = None
+        for server in servers:
+            seconds = self._backpressure.seconds_until_allowed(server, now)
+            if seconds == 0.0:
+                allowed.append(server)
+            elif seconds is not None:
+                next_seconds = min(seconds, next_seconds or seconds)
+        return allowed, next_seconds
+
+    @staticmethod
+    def _hold_back(call: Call, wait_seconds: float | None) -> Wait | PlacementRefusal:
+        """Queue or refuse a request that no server's limit allows now.
+
+        :param wait_seconds: time until one does; None if that is unknown.
+        """
+        reason = "every backend server limits its rate"
+        if wait_seconds is None:
+            return PlacementRefusal(reason, LIMITED_RETRY_AFTER_SECONDS)
+        if wait_seconds > MAX_WAIT_OBJECTIVES * call.route.objective_seconds:
+            return PlacementRefusal(reason, wait_seconds)
+        return Wait(reason)
 
     def _overload_error(
         self, call: Call, service: str, refuse: PlacementRefusal, choice: _Choice
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -23,6 +23,7 @@
     write_blames,
     write_crashes,
 )
+from bluebellshore.entry.limit_messages import read_limits, write_limits
 from bluebellshore.entry.loans import Loan, LoanServer
 from bluebellshore.entry.peer_selection import (
     EXCHANGE_INTERVAL_SECONDS,
@@ -42,6 +43,7 @@
     PartId,
     Tokens,
 )
+from bluebellshore.routing.backpressure import BackpressureTracker, RateLimit
 from bluebellshore.routing.crash_tracker import CrashReport, CrashTracker
 from bluebellshore.routing.load import CachedPart, LoadReport, LoadTracker, ServerLoad
 from bluebellshore.routing.results import ResultCounts
@@ -123,6 +125,8 @@
     :param store_lost: returns whether this router lacks the store, in which case peers
         send it table rows.
     :param bind: ``host:port`` to listen on if that is not `address`.
+    :param on_limit: called with each change of a server's rate limit that a peer told,
+        and the peer's address.
     :ivar leaving: whether this router is shutting down; it lends no more tokens.
     """
 
@@ -139,7 +143,11 @@
         store_lost: Callable[[], bool],
         log: DecisionLog | None = None,
         bind: str = "",
+        backpressure: BackpressureTracker | None = None,
+        on_limit: Callable[[RateLimit, str], None] = lambda limit, source: None,
     ):
+        self._backpressure = backpressure or BackpressureTracker()
+        self._on_limit = on_limit
         self._log = log or silent_log()
         self._address = address
         self._bind = bind or address
@@ -266,6 +274,8 @@
             read_answered_parts(state, now),
             read_blames(state, now),
         )
+        for limit in self._backpressure.merge(read_limits(state, now)):
+            self._on_limit(limit, state.address)
         self._loads.merge_report(incarnation, _decode_load_report(state), now)
         if self.rollouts is not None:
             self.rollouts.merge(incarnation, read_reports(state))
@@ -275,6 +285,11 @@
         """Return the incarnations of the peers that are alive."""
         return [peer.incarnation for peer in self.alive() if peer.incarnation]
 
+    def leaving_instances(self) -> list[InstanceId]:
+        """Return the instances of the peers that are shutting down."""
+        peers = self.peers_by_address.values()
+        return [peer.instance_id for peer in peers if peer.leaving]
+
     def serving(self) -> list[IncarnationId]:
         """Return the incarnations of the peers that are alive and not leaving."""
         alive = [peer for peer in self.alive() if not peer.leaving]
@@ -371,6 +386,7 @@
         self._write_updates(
             state, [update for update in self._recent_updates if update.number > sent]
         )
+        write_limits(self._backpressure.limits(), state, time.monotonic())
         if self.rollouts is not None:
             write_reports(self.rollouts.reports(), state)
         state.peers.extend(other.address for other in self.alive())
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -20,6 +20,7 @@
 from bluebellshore.entry.ingress import Ingress
 from bluebellshore.entry.metrics import EntryMetrics
 from bluebellshore.entry.metrics_port import MetricsPort
+from bluebellshore.entry.peer_selection import silence_limit_seconds
 from bluebellshore.entry.peers import PeerExchange
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.request_log import RequestLog
@@ -37,6 +38,7 @@
     InstanceId,
     Tokens,
     ZoneName,
+    instance_of,
 )
 from bluebellshore.platform.requests import (
     ANSWER_HEADERS,
@@ -46,11 +48,12 @@
 from bluebellshore.platform.settings import load_settings
 from bluebellshore.platform.store import PlatformStore
 from bluebellshore.rollouts import ExposureLimit
-from bluebellshore.routing.backpressure import BackpressureTracker
+from bluebellshore.routing.backpressure import BackpressureTracker, RateLimit
 from bluebellshore.routing.crash_tracker import CrashTracker
 from bluebellshore.routing.load import LoadTracker
 from bluebellshore.routing.outlier_detection import OutlierDetector
 from bluebellshore.routing.placement import Placer
+from bluebellshore.routing.rate_senders import RateSenders
 from bluebellshore.routing.retry_window import WindowedRetryBudget
 from bluebellshore.runtime import run_role
 
@@ -118,6 +121,8 @@
         self._crashes = CrashTracker(self.incarnation, self._router_count)
         self._crash_log = CrashLog(self._crashes, self._log)
         instance_id = InstanceId(settings.instance_id)
+        self._rate_senders = RateSenders(instance_id)
+        self._backpressure = BackpressureTracker(self._rate_senders.share)
         self._peers = PeerExchange(
             address=settings.peer_listen,
             bind=settings.peer_bind,
@@ -129,6 +134,8 @@
             crashes=self._crashes,
             store_lost=lambda: self._watch.lost,
             log=self._log,
+            backpressure=self._backpressure,
+            on_limit=self._log_limit,
         )
         self._router_registry = RouterRegistry(
             self._store,
@@ -138,7 +145,6 @@
             self._peers.add_addresses,
             self._log,
         )
-        self._backpressure = BackpressureTracker()
         self._backend = DirectBackend(
             ANSWER_HEADERS,
             max_connections=self._max_connections,
@@ -175,6 +181,7 @@
             self._outliers,
             self._log,
             self._rollouts,
+            self._backpressure,
         )
         self._dispatcher = Dispatcher(
             platform_state=self._platform_state,
@@ -232,6 +239,7 @@
                 requested_at, self.settings.stop_seconds, accept_seconds=0.0
             )
         self.stopping = self._peers.leaving = True
+        self._rate_senders.leave()
         self._ingress.stop_schedule = schedule
         await asyncio.sleep(max(0.0, schedule.accept_until - loop.time()))
         self._budgets.drain()
@@ -408,8 +416,13 @@
             await asyncio.sleep(SERVER_CHECK_SECONDS)
             self._ejection_log.log_changes()
             self._crash_log.log_changes()
+            now = time.monotonic()
+            self._update_rate_senders(now)
             # Called to drop the entries whose grace period is over.
-            self._platform_state.servers_of("", time.monotonic())
+            self._platform_state.servers_of("", now)
+            self._backpressure.forget_unlisted(
+                self._platform_state.servers_by_id.__contains__, now
+            )
             changed_servers, self._platform_state.restarted_or_removed = (
                 self._platform_state.restarted_or_removed,
                 [],
@@ -425,14 +438,30 @@
         self, server: BackendServer, stated: Backpressure, sent_at: float
     ) -> None:
         now = asyncio.get_running_loop().time()
-        if self._backpressure.record_answer(server, stated, sent_at, now):
-            rate = stated.requests_per_second
-            self._log.backend_server(
-                server.server_id,
-                Belief.UNLIMITED if rate is None else Belief.LIMITED,
-                reason="stated in its answer",
-                inputs={"requests_per_second": rate},
-            )
+        limit = self._backpressure.record_answer(server, stated, sent_at, now)
+        if limit is not None:
+            self._log_limit(limit)
+
+    def _log_limit(self, limit: RateLimit, peer: str = "") -> None:
+        """Log a change of a backend server's limit, stated to this router or a peer."""
+        rate = limit.requests_per_second
+        self._log.backend_server(
+            limit.server_id,
+            Belief.UNLIMITED if rate is None else Belief.LIMITED,
+            reason=f"told by {peer}" if peer else "stated in its answer",
+            born=limit.started_unix_ms,
+            inputs={"requests_per_second": rate},
+        )
+
+    def _update_rate_senders(self, now: float) -> None:
+        peers = self._peers
+        self._rate_senders.update(
+            [instance_of(incarnation) for incarnation in peers.serving()],
+            peers.leaving_instances(),
+            registered=self._router_registry.registered_count,
+            settle_seconds=silence_limit_seconds(len(peers.peers_by_address)),
+            now=now,
+        )
 
     def _prepaid_total(self, customer: CustomerId) -> Tokens | None:
         configuration = self._platform_state.configuration
--- a/bluebellshore/routing/waiting.py
+++ b/bluebellshore/routing/waiting.py
@@ -17,7 +17,7 @@
 from bluebellshore.ids import CustomerId
 from bluebellshore.routing.placement import PlacementRefusal
 
-__all__ = ["Queued", "WaitingQueue"]
+__all__ = ["MAX_WAIT_OBJECTIVES", "Queued", "WaitingQueue"]
 
 #: One start out of this many goes to the least urgent kind of request that waits.
 LEAST_URGENT_INTERVAL = 8
--- a/tests/test_entry_backpressure.py
+++ b/tests/test_entry_backpressure.py
@@ -49,11 +49,13 @@
 class BackpressureTrackerTest(unittest.TestCase):
     def test_limit_holds_until_a_later_request_is_answered_without_one(self):
         tracker, limited = BackpressureTracker(), server("a")
-        self.assertTrue(tracker.record_answer(limited, Backpressure(2.0), 0.0, 1.0))
+        self.assertIsNotNone(
+            tracker.record_answer(limited, Backpressure(2.0), 0.0, 1.0)
+        )
         self.assertEqual(2.0, tracker.limit_of(limited))
-        self.assertFalse(tracker.record_answer(limited, Backpressure(), 0.5, 1.5))
+        self.assertIsNone(tracker.record_answer(limited, Backpressure(), 0.5, 1.5))
         self.assertEqual(2.0, tracker.limit_of(limited))
-        self.assertTrue(tracker.record_answer(limited, Backpressure(), 1.1, 1.6))
+        self.assertIsNotNone(tracker.record_answer(limited, Backpressure(), 1.1, 1.6))
         self.assertIsNone(tracker.limit_of(limited))
 
     def test_limit_ends_with_a_restart_of_the_server(self):
@@ -101,6 +103,34 @@
         limited.requests_per_second = None
         await wait_until(lambda: sees(0.0), "its end to be seen")
 
+    async def test_limit_reaches_routers_that_sent_nothing_there(self):
+        instances = await self.start_routers(3)
+        for runner in self.runners:
+            runner.requests_per_second = 1000.0
+        await self.call(instances[0], "/safe/a")
+
+        def told():
+            for instance in instances:
+                instance.router._set_gauges()
+            return all(
+                instance.router._metrics.registry.get_sample_value(
+                    "bluebellshore_servers_limited"
+                )
+                for instance in instances
+            )
+
+        await wait_until(told, "the other routers to be told")
+
+    async def test_request_that_no_limit_allows_is_refused_at_once(self):
+        # The router has just started, so it may not use any part of the rate yet.
+        (instance,) = await self.start_routers(1)
+        for runner in self.runners:
+            runner.requests_per_second = 0.0
+        statuses = [(await self.call(instance, "/safe/a"))[0] for _ in range(4)]
+        self.assertEqual([200, 200, 503, 503], statuses)
+        _, headers, _ = await self.call(instance, "/safe/a")
+        self.assertGreater(float(headers["Retry-After"]), 0.0)
+
     async def test_routers_exceed_the_limit_that_a_server_named(self):
         # Each router sees its own requests only, but the limit is for their sum.
         instances = await self.start_routers(3)
