Log and count the restores of the store, and configuration rows dropped as older

The era in the store's answers is read now, a new one is logged and shown in a metric, and a configuration's row that is dropped for its version is logged. Nothing is decided by it.

--- a/bluebellshore/decisions/changes.py
+++ b/bluebellshore/decisions/changes.py
@@ -124,9 +124,11 @@
         reason: str = "",
         silent_seconds: float | None = None,
         versions: Mapping[str, int] | None = None,
+        era: int | None = None,
     ) -> None:
-        """Log that contact with the store was lost or regained.
+        """Log that contact with the store was lost or regained, or that it went back.
 
+        :param era: how often the store has come back from an older copy.
         :param silent_seconds: time since the store last confirmed all tables.
         :param versions: version up to which each table has been read.
         """
@@ -137,6 +139,7 @@
                 "reason": reason or None,
                 "silent_seconds": silent_seconds,
                 "versions": dict(versions) if versions else None,
+                "era": era,
             },
             high_priority=True,
         )
--- a/bluebellshore/decisions/kinds.py
+++ b/bluebellshore/decisions/kinds.py
@@ -133,6 +133,8 @@
 
     LOST = "lost"
     REGAINED = "regained"
+    #: The store came back from an older copy of itself.
+    RESTORED = "restored"
 
 
 class Verdict(Enum):
--- a/bluebellshore/entry/metrics.py
+++ b/bluebellshore/entry/metrics.py
@@ -107,6 +107,9 @@
         self._configuration_age = self._gauge(
             "configuration_age_seconds", "Time since the store last confirmed it."
         )
+        self._store_era = self._gauge(
+            "store_era", "Times that the store came back from an older copy."
+        )
         self._store_lost = self._gauge("store_lost", "1 while the store is lost.")
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
@@ -224,9 +227,13 @@
         self._configuration.set(number)
         self._configuration_age.set(age_seconds)
 
-    def set_store_lost(self, lost: bool) -> None:
-        """Set whether the store is out of reach."""
+    def set_store(self, *, lost: bool, era: int) -> None:
+        """Set whether the store is out of reach, and its era.
+
+        :param era: how often the store has come back from an older copy.
+        """
         self._store_lost.set(lost)
+        self._store_era.set(era)
 
 
 def metrics_handler(
--- a/bluebellshore/entry/platform_state.py
+++ b/bluebellshore/entry/platform_state.py
@@ -176,6 +176,8 @@
         for row in change.rows:
             known = table.rows_by_key.get(row.key)
             if known is not None and known.version >= row.version:
+                if known.version > row.version and source == "store":
+                    self._log_outdated(row, known.version)
                 continue
             if table.removed_by_key.get(row.key, -1) >= row.version:
                 continue
@@ -186,6 +188,16 @@
             del table.removed_by_key[next(iter(table.removed_by_key))]
         table.version = max(table.version, change.version)
 
+    def _log_outdated(self, row: Row, known_version: int) -> None:
+        if row.key == CONFIGURATION_KEY:
+            self._log.configuration(
+                None,
+                in_force=False,
+                source="store",
+                row_version=row.version,
+                reason=f"its row is older than version {known_version}",
+            )
+
     def changes_since(self, versions: dict[str, int]) -> dict[str, TableChange]:
         """Return the changes, by table, that a peer with `versions` of tables lacks."""
         changes = {}
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -10,7 +10,13 @@
 from bluebellshore import STARTED_AT
 from bluebellshore.backend import Backpressure
 from bluebellshore.backend.direct import DirectBackend
-from bluebellshore.decisions import Belief, DecisionLog, open_decision_log, silent_log
+from bluebellshore.decisions import (
+    Belief,
+    Contact,
+    DecisionLog,
+    open_decision_log,
+    silent_log,
+)
 from bluebellshore.entry.admission import Admission
 from bluebellshore.entry.attempt_log import AttemptLog
 from bluebellshore.entry.budgets import CustomerBudgets
@@ -110,7 +116,9 @@
         """Start all parts and serve callers."""
         settings = self.settings
         self._store = PlatformStore(
-            settings.store_address, on_call=self._metrics.store_called
+            settings.store_address,
+            on_call=self._metrics.store_called,
+            on_restored=self._record_restored,
         )
         await self._store.open()
         self._platform_state = PlatformState(settings.server_lapse_seconds, self._log)
@@ -403,7 +411,7 @@
             0 if configuration is None else configuration.number,
             min(self._watch.silent_seconds, MAX_CONFIGURATION_AGE_SECONDS),
         )
-        metrics.set_store_lost(self._watch.lost)
+        metrics.set_store(lost=self._watch.lost, era=self._store.era)
         metrics.set_lost_lines(left_out=self._log.left_out, dropped=self._log.dropped)
 
     async def _answer_readiness(self, request: web.BaseRequest) -> web.Response:
@@ -434,6 +442,14 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._loads.configure(configuration.services_by_name.values())
 
+    def _record_restored(self, before: int, era: int) -> None:
+        self._log.store(
+            Contact.RESTORED,
+            reason=f"the store came back from an older copy, in era {before} before",
+            versions=self._platform_state.versions(),
+            era=era,
+        )
+
     def _record_backpressure(
         self, server: BackendServer, stated: Backpressure, sent_at: float
     ) -> None:
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -81,6 +81,8 @@
     :param local_host: local address to connect from; empty for any.
     :param on_call: called after each call with its name, its result (the HTTP status or
         ``unanswered``) and the seconds that it took.
+    :param on_restored: called when the store came back from an older copy of itself,
+        with its era before and now.
     """
 
     def __init__(
@@ -91,8 +93,11 @@
         row_bytes: int = MAX_ROW_BYTES,
         local_host: str = "",
         on_call: Callable[[str, str, float], None] | None = None,
+        on_restored: Callable[[int, int], None] | None = None,
     ):
         self._calls = StoreCalls(address, call_seconds, local_host)
+        if on_restored is not None:
+            self._calls.on_restored = on_restored
         if on_call is not None:
             self._calls.on_call = on_call
         self._object_timeout_seconds = max(OBJECT_CALL_TIMEOUT_SECONDS, call_seconds)
@@ -108,6 +113,11 @@
         """The store's clock in its latest answer; None before the first one."""
         return self._calls.time
 
+    @property
+    def era(self) -> int:
+        """How often the store has come back from an older copy, as far as known."""
+        return self._calls.era or 0
+
     async def open(self) -> None:
         """Create the HTTP session, which calls need."""
         await self._calls.open()
--- a/bluebellshore/platform/store_calls.py
+++ b/bluebellshore/platform/store_calls.py
@@ -18,6 +18,9 @@
 #: Longest part of an answer's text that an error quotes.
 MAX_REASON_CHARACTERS = 200
 
+#: How often the store has come back from an older copy of itself.
+ERA_HEADER = "Store-Era"
+
 T = TypeVar("T")
 
 
@@ -25,11 +28,13 @@
     """Answer to one call.
 
     :param asked_seconds: monotonic time at which the call was sent.
+    :param era: how often the store had come back from an older copy; 0 if not stated.
     """
 
     status: int
     body: bytes
     asked_seconds: float = 0.0
+    era: int = 0
 
 
 class StoreCalls:
@@ -41,10 +46,15 @@
     :ivar call_count: number of calls made.
     :ivar on_call: called after each call with its name, its result (the HTTP status or
         ``unanswered``) and the seconds that it took.
+    :ivar era: newest era in an answer, which grows each time that the store comes back
+        from an older copy; None before the first answer.
+    :ivar on_restored: called with the era before and the new one.
     """
 
     def __init__(self, address: str, call_seconds: float, local_host: str = ""):
         self.on_call: Callable[[str, str, float], None] = lambda *arguments: None
+        self.on_restored: Callable[[int, int], None] = lambda *arguments: None
+        self.era: int | None = None
         self.address = address
         self.call_count = 0
         #: The store's clock in its latest answer; None before the first one.
@@ -104,8 +114,10 @@
                     method, url, data=body, headers=headers, allow_redirects=False
                 ) as response,
             ):
-                reply = Reply(response.status, await response.read(), sent_at)
+                era = _parse_era(response.headers.get(ERA_HEADER, ""))
+                reply = Reply(response.status, await response.read(), sent_at, era)
                 result = str(reply.status)
+                self._note_era(era)
                 return reply
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
@@ -114,6 +126,13 @@
             taken_seconds = time.monotonic() - sent_at
             self.on_call(step.removeprefix("store."), result, taken_seconds)
 
+    def _note_era(self, era: int) -> None:
+        before = self.era
+        if before is None or era > before:
+            self.era = era
+            if before is not None:
+                self.on_restored(before, era)
+
     def check(self, reply: Reply, step: str) -> None:
         """Raise an error unless the status is 2xx.
 
@@ -163,3 +182,7 @@
     def unavailable(self, reason: str, step: str) -> PlatformUnavailableError:
         """Return the error for a call that got no answer or may succeed later."""
         return PlatformUnavailableError(reason, step=step, peer=self.address)
+
+
+def _parse_era(value: str) -> int:
+    return int(value) if value.isascii() and value.isdigit() else 0
--- a/tests/test_entry_metrics.py
+++ b/tests/test_entry_metrics.py
@@ -45,7 +45,7 @@
     metrics.set_requests(active=4, waiting=1)
     metrics.set_fleet(peers=3, servers=9, suspected=1)
     metrics.set_configuration(12, 0.4)
-    metrics.set_store_lost(True)
+    metrics.set_store(lost=True, era=0)
 
 
 class CountTest(unittest.TestCase):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -116,7 +116,7 @@
             raise Endless
         if self.error:
             raise self.error
-        yield SimpleNamespace(status=self.status, read=self.read)
+        yield SimpleNamespace(status=self.status, read=self.read, headers={})
 
     async def read(self):
         return self.body
