Show that changes are not in force after the store came back from an older copy

The stand-in store can come back from a copy of some seconds ago, gives its versions out again, answers 410 for those that it doesn't have and names its era.

--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -344,6 +344,7 @@
             "configuration": configuration.number if configuration else None,
             "versions": self._platform_state.versions(),
             "store_lost": self._watch.lost,
+            "store_era": self._store.era,
             "active_requests": self._ingress.active,
             "servers": {
                 server_id: self._server_state(server_id)
--- a/bluebellshore/standin/platform.py
+++ b/bluebellshore/standin/platform.py
@@ -80,6 +80,8 @@
             self.parts.per_second = faults.part_writes_per_second
         if faults.forget_history:
             self.rows.forget_history()
+        if faults.restore_seconds is not None:
+            self.rows.restore(faults.restore_seconds)
 
     def write_as_operator(self, table: str, key: str, value: bytes | None) -> int:
         """Write or remove a row whatever its version, also of the operator's."""
@@ -96,7 +98,8 @@
 def build_app(state: PlatformState) -> web.Application:
     """Return the application that serves `state`."""
     app = web.Application(
-        middlewares=[_limit_rate, _show_faults], client_max_size=MAX_BODY_BYTES
+        middlewares=[_name_era, _limit_rate, _show_faults],
+        client_max_size=MAX_BODY_BYTES,
     )
     app[STATE] = state
     app.add_routes(
@@ -151,6 +154,13 @@
     return request.path.startswith("/control/")
 
 
+@web.middleware
+async def _name_era(request: web.Request, handler: Handler) -> web.StreamResponse:
+    response = await handler(request)
+    response.headers["Store-Era"] = str(request.app[STATE].rows.era)
+    return response
+
+
 @web.middleware
 async def _limit_rate(request: web.Request, handler: Handler) -> web.StreamResponse:
     state = request.app[STATE]
--- a/bluebellshore/standin/platform_faults.py
+++ b/bluebellshore/standin/platform_faults.py
@@ -40,6 +40,7 @@
     :param part_writes_per_second: transactions of one part, one after another; 0
         for no limit.
     :param forget_history: forget all changes so far.
+    :param restore_seconds: come back from a copy so many seconds old.
     :param clock_ahead_seconds: by how much the store's clock is ahead of this
         process's monotonic one.
     """
@@ -58,6 +59,7 @@
     answer_delay_seconds: float | None = None
     part_writes_per_second: float | None = None
     forget_history: bool | None = None
+    restore_seconds: float | None = None
     clock_ahead_seconds: float | None = None
 
 
--- a/bluebellshore/standin/platform_rows.py
+++ b/bluebellshore/standin/platform_rows.py
@@ -18,6 +18,10 @@
 ]
 
 
+#: Age of the oldest copy that the store can come back from.
+MAX_COPY_AGE_SECONDS = 60.0
+
+
 class RowId(NamedTuple):
     """Where a row lies."""
 
@@ -50,6 +54,18 @@
     has_more: bool
 
 
+class _Undo(NamedTuple):
+    """What a transaction changed.
+
+    :param version: version of the store before it.
+    :param entries_by_row: the rows that it wrote or removed, as they were before.
+    """
+
+    at: float
+    version: int
+    entries_by_row: dict[RowId, Entry | None]
+
+
 class VersionsDiffer(Exception):
     """Rows had other versions; carries those that exist among the ones named."""
 
@@ -59,7 +75,7 @@
 
 
 class HistoryGone(Exception):
-    """The changes that were asked for are forgotten."""
+    """The changes that were asked for are forgotten, or their version is unknown."""
 
 
 class RowStore:
@@ -80,6 +96,9 @@
         self._keys: dict[str, dict[str, list[str]]] = {}
         self._history: deque[Change] = deque()
         self._forgotten_version = 0
+        self._undo: deque[_Undo] = deque()
+        #: How often the store has come back from an older copy.
+        self.era = 0
         self._changed = asyncio.Event()
 
     @property
@@ -101,6 +120,11 @@
             raise VersionsDiffer(
                 [self._entries[i] for i in expected if i in self._entries]
             )
+        rows = [*written, *removed]
+        before = {row_id: self._entries.get(row_id) for row_id in rows}
+        self._undo.append(_Undo(self._clock(), self.version, before))
+        while self._undo[0].at < self._clock() - MAX_COPY_AGE_SECONDS:
+            self._undo.popleft()
         self.version += 1
         for row_id, value in written.items():
             self._write(row_id, value)
@@ -165,11 +189,36 @@
         self._forgotten_version = self.version
         self._wake()
 
+    def restore(self, seconds: float) -> None:
+        """Come back from a copy of `seconds` ago; later versions are given out again.
+
+        :param seconds: at most :data:`MAX_COPY_AGE_SECONDS`.
+        """
+        copied_at = self._clock() - seconds
+        while self._undo and self._undo[-1].at > copied_at:
+            undo = self._undo.pop()
+            for row_id, entry in undo.entries_by_row.items():
+                self._put_back(row_id, entry)
+            self.version = undo.version
+        while self._history and self._history[-1].version > self.version:
+            self._history.pop()
+        self.era += 1
+        self._wake()
+
+    def _put_back(self, row_id: RowId, entry: Entry | None) -> None:
+        keys = self._keys.setdefault(row_id.table, {}).setdefault(row_id.part, [])
+        if row_id in self._entries:
+            del keys[bisect.bisect_left(keys, row_id.key)]
+            del self._entries[row_id]
+        if entry is not None:
+            bisect.insort(keys, row_id.key)
+            self._entries[row_id] = entry
+
     def _changes(self, table: str, after_version: int) -> list[Change]:
         oldest = self._clock() - self._history_seconds
         while self._history and self._history[0].at < oldest:
             self._forgotten_version = self._history.popleft().version
-        if after_version < self._forgotten_version:
+        if not self._forgotten_version <= after_version <= self.version:
             raise HistoryGone
         return [
             change
--- a/bluebellshore/standin/runner_entries.py
+++ b/bluebellshore/standin/runner_entries.py
@@ -16,6 +16,8 @@
 #: Heartbeats of silence after which the platform removes an entry.
 SILENT_HEARTBEATS = 3
 POLL_SECONDS = 0.02
+#: Most entries that exist at a time, and their bytes.
+MAX_ENTRIES, MAX_BYTES = 10_000, 100_000_000
 
 
 class RunnerEntries:
@@ -30,6 +32,7 @@
         self.heartbeat_seconds = heartbeat_seconds
         self._state = state
         self._seen_at: dict[str, float] = {}
+        self._operator_rows: dict[tuple[str, str], dict[str, object]] = {}
 
     @property
     def out(self) -> bool:
@@ -57,8 +60,23 @@
         """Put a configuration into the store, as the operator does."""
         self.write(CONFIGURATION_TABLE, CONFIGURATION_KEY, configuration)
 
+    def write_again(self) -> None:
+        """Write and remove again what the operator and the backend servers had.
+
+        The store may have come back from a copy without it. Running backend servers
+        renew their own entries.
+        """
+        for (table, key), value in self._operator_rows.items():
+            self._state.write_as_operator(table, key, msgspec.json.encode(value))
+        page = self._state.rows.page(TABLE, "", "", "", MAX_ENTRIES, MAX_BYTES)
+        for entry in page.entries:
+            if entry.row_id.key not in self._seen_at:
+                self._state.write_as_operator(TABLE, entry.row_id.key, None)
+
     def write(self, table: str, key: str, value: dict[str, object]) -> None:
         """Write a row as the operator, whatever its version."""
+        if table != TABLE:
+            self._operator_rows[table, key] = value
         self._state.write_as_operator(table, key, msgspec.json.encode(value))
 
     async def run(self) -> None:
