Order what the store holds by its era first, then by version

Cause: versions of rows go back and are given out again when the store comes back from an older copy; the router compared bare numbers and dropped each new row as older, without a line. The class: a number that the store may give out again was taken for an order.

The client of the store now puts the era that each answer names in front of its versions, so that caches, copies of tables, changes, peers' rows and tombstones compare them right. A feed from another era counts as lost history; a conditional write that expects a version of an earlier era is a conflict, and one that was answered in another era than it was made for has an unknown outcome. After a restore, all rows have newer versions but may say what was true before: a configuration with a lower number, an entry that its backend server renewed since and one that was removed are not taken; entries that are missing get the grace of an outage.

Routers of older builds must not run beside: they read versions with an era as newer than all that the store gives them later.

--- a/bluebellshore/entry/platform_state.py
+++ b/bluebellshore/entry/platform_state.py
@@ -19,7 +19,7 @@
     SERVERS_TABLE,
 )
 from bluebellshore.platform.servers import decode_rollout_order, decode_server
-from bluebellshore.store import Row, TableChange, TableSnapshot
+from bluebellshore.store import Row, TableChange, TableSnapshot, era_of
 
 __all__ = ["WATCHED_TABLES", "PlatformState", "VersionedOrder"]
 
@@ -51,7 +51,9 @@
     """Configuration, backend servers and rollout orders in force at this router.
 
     Rows come from the store and from peers, in any order. A row is only ever replaced
-    by a newer version, and a removed row doesn't come back with an older one.
+    by a newer version, and a removed row doesn't come back with an older one. After the
+    store came back from an older copy, all its versions are newer, but its rows may say
+    what was true before: a row that its writer had replaced already is kept as it was.
 
     :param expiry_grace_seconds: grace period after an outage of the store, in which
         entries that expired during the outage still count, so that their servers can
@@ -67,6 +69,8 @@
         self._tables: dict[str, _Table] = {name: _Table() for name in WATCHED_TABLES}
         self._grace_until: dict[BackendServerId, float] = {}
         self._excluded_versions: dict[BackendServerId, int] = {}
+        #: Last entry of each server whose entry was removed, while its tombstone lasts.
+        self._removed_servers: dict[BackendServerId, BackendServer] = {}
         self.configuration: Configuration | None = None
         #: Called with each configuration that comes into force.
         self.on_configuration: Callable[[Configuration], None] = lambda _: None
@@ -179,15 +183,41 @@
                 if known.version > row.version and source == "store":
                     self._log_outdated(row, known.version)
                 continue
-            if table.removed_by_key.get(row.key, -1) >= row.version:
+            removed_version = table.removed_by_key.get(row.key, -1)
+            if removed_version >= row.version:
                 continue
+            if era_of(removed_version) < era_of(row.version) and self._was_removed(row):
+                table.removed_by_key[row.key] = row.version
+                continue
+            if known is not None and era_of(known.version) < era_of(row.version):
+                row = self._newest_by_content(known, row)
             table.rows_by_key[row.key] = row
             table.removed_by_key.pop(row.key, None)
-            self._apply_row(row, source)
+            if known is None or row.value is not known.value:
+                self._apply_row(row, source)
         while len(table.removed_by_key) > MAX_TOMBSTONES:
-            del table.removed_by_key[next(iter(table.removed_by_key))]
+            oldest = next(iter(table.removed_by_key))
+            del table.removed_by_key[oldest]
+            self._removed_servers.pop(_server_id_of(oldest), None)
         table.version = max(table.version, change.version)
 
+    def _was_removed(self, row: Row) -> bool:
+        """Return whether a row is an entry that had been removed before a restore."""
+        if not row.key.startswith(f"{SERVERS_TABLE}/"):
+            return False
+        removed = self._removed_servers.get(_server_id_of(row.key))
+        return removed is not None and _is_outdated_entry(row, removed)
+
+    def _newest_by_content(self, known: Row, row: Row) -> Row:
+        """Return a row of the restored store, with the known value if that is newer."""
+        outdated = False
+        if row.key == CONFIGURATION_KEY and self.configuration is not None:
+            outdated = _configuration_number(row) < self.configuration.number
+        elif row.key.startswith(f"{SERVERS_TABLE}/"):
+            server = self.servers_by_id.get(_server_id_of(row.key))
+            outdated = server is not None and _is_outdated_entry(row, server)
+        return Row(row.key, row.version, known.value) if outdated else row
+
     def _log_outdated(self, row: Row, known_version: int) -> None:
         if row.key == CONFIGURATION_KEY:
             self._log.configuration(
@@ -270,6 +300,7 @@
         server = decode_server(server_id, row.value)
         known = self.servers_by_id.get(server_id)
         self._grace_until.pop(server_id, None)
+        self._removed_servers.pop(server_id, None)
         self.servers_by_id[server_id] = server
         if known is not None and known.started_unix_ms != server.started_unix_ms:
             self.restarted_or_removed.append(server_id)
@@ -308,7 +339,9 @@
 
     def _remove_server(self, server_id: BackendServerId, reason: str) -> None:
         self._excluded_versions.pop(server_id, None)
-        if self.servers_by_id.pop(server_id, None) is not None:
+        removed = self.servers_by_id.pop(server_id, None)
+        if removed is not None:
+            self._removed_servers[server_id] = removed
             self.restarted_or_removed.append(server_id)
             self._log.backend_server(server_id, Belief.GONE, reason=reason)
 
@@ -319,3 +352,23 @@
 
 def _server_id_of(key: str) -> BackendServerId:
     return BackendServerId(key.partition("/")[2])
+
+
+def _configuration_number(row: Row) -> int:
+    """Return the number of a configuration; one that can't be read is the oldest."""
+    try:
+        return decode_configuration(row.value).number
+    except PlatformError:
+        return -1
+
+
+def _is_outdated_entry(row: Row, known: BackendServer) -> bool:
+    """Return whether an entry is one that its backend server has renewed since."""
+    try:
+        server = decode_server(known.server_id, row.value)
+    except PlatformError:
+        return True
+    return (server.started_unix_ms, server.renewals) < (
+        known.started_unix_ms,
+        known.renewals,
+    ) or server == known
--- a/bluebellshore/entry/watch.py
+++ b/bluebellshore/entry/watch.py
@@ -1,13 +1,14 @@
 """Watches the platform's tables, and keeps a router's copy of them up to date."""
 
 import asyncio
+import math
 import random
 import time
 
 from bluebellshore.decisions import Contact, DecisionLog, silent_log
 from bluebellshore.entry.platform_state import WATCHED_TABLES, PlatformState
 from bluebellshore.errors import HistoryLostError, PlatformError
-from bluebellshore.store import ChangeFeedTable
+from bluebellshore.store import ChangeFeedTable, era_of
 
 __all__ = ["StoreWatch"]
 
@@ -21,7 +22,8 @@
 RETRY_SECONDS = 0.25
 #: Time without an answer, beyond a long poll, after which the store counts as lost.
 STORE_TIMEOUT_SECONDS = 1.5
-#: Time after an outage of the store in which entries may still expire because of it.
+#: Time after an outage of the store, or after it came back from an older copy, in which
+#: entries may still expire because of it.
 AFTER_OUTAGE_SECONDS = 1.0
 
 
@@ -40,6 +42,7 @@
         self._versions: dict[str, int | None] = dict.fromkeys(WATCHED_TABLES)
         self._confirmed_at: dict[str, float] = dict.fromkeys(WATCHED_TABLES, -1e9)
         self._regained_at: dict[str, float] = dict.fromkeys(WATCHED_TABLES, -1e9)
+        self._eras: dict[str, int] = {}
         self._started_at = time.monotonic()
         self._logged_lost = True
 
@@ -79,6 +82,9 @@
         if version is None:
             snapshot = await self._store.snapshot(table)
             now = time.monotonic()
+            if era_of(snapshot.version) > self._eras.get(table, math.inf):
+                self._regained_at[table] = now
+            self._eras[table] = era_of(snapshot.version)
             self._platform_state.apply_snapshot(
                 table, snapshot, now, after_outage=self._is_after_outage(table, now)
             )
--- a/bluebellshore/fleet/model.py
+++ b/bluebellshore/fleet/model.py
@@ -196,6 +196,7 @@
     :param warmup_seconds: time for which the server is still slow after its start.
     :param started_unix_ms: Unix time of the server's start in milliseconds, 0 when
         unknown; differs after a restart under the same id.
+    :param renewals: grows with each renewal of the entry, and begins anew at a start.
     """
 
     server_id: BackendServerId
@@ -208,6 +209,7 @@
     state: ServerState = ServerState.READY
     warmup_seconds: float = 0.0
     started_unix_ms: int = 0
+    renewals: int = 0
 
     @property
     def address(self) -> str:
--- a/bluebellshore/platform/servers.py
+++ b/bluebellshore/platform/servers.py
@@ -58,6 +58,7 @@
             state=_STATES_BY_WIRE_NAME[entry.state],
             warmup_seconds=max(0.0, entry.cold_remaining_ms) / 1000,
             started_unix_ms=entry.born,
+            renewals=entry.seq,
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         raise PlatformError(
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -22,6 +22,7 @@
     RowMessage,
     RowsAnswer,
     TransactionAnswer,
+    date_rows,
     row_of,
     split_key,
     transaction_of,
@@ -30,11 +31,14 @@
     ABSENT,
     MAX_KEY_BYTES,
     MAX_ROW_BYTES,
+    VERSIONS_PER_ERA,
     Row,
     StoreTime,
     TableChange,
     TableSnapshot,
     Write,
+    era_of,
+    version_in_era,
 )
 
 __all__ = ["BACKGROUND_CALL_TIMEOUT_SECONDS", "PlatformStore", "open_store"]
@@ -185,6 +189,10 @@
         start, version = "", None
         while True:
             page = await self._read_page(table, start, MAX_PAGE_ROWS)
+            if version is not None and era_of(page.row_version) != era_of(version):
+                raise self._calls.unavailable(
+                    "the store was restored between pages", "store.read"
+                )
             # The version of the first page: the feed then repeats changes that were
             # made while later pages were read.
             version = page.row_version if version is None else version
@@ -203,11 +211,14 @@
         :raises HistoryLostError: the store no longer has all changes after the version.
         """
         step = "store.feed"
+        era = era_of(after_version)
+        if era < self.era:
+            raise self._history_lost(after_version, step)
         wait_seconds = min(wait_seconds, MAX_FEED_WAIT_SECONDS)
         query = {
             "tableName": table,
             # Version after which changes are returned.
-            "startRevision": str(after_version),
+            "startRevision": str(after_version % VERSIONS_PER_ERA),
             "waitMs": str(int(wait_seconds * 1000)),
         }
         timeout_seconds = wait_seconds + FEED_SLACK_SECONDS
@@ -215,17 +226,20 @@
             "GET", "/rows-feed", step, query, timeout_seconds=timeout_seconds
         )
         if reply.status == HTTPStatus.GONE:
-            raise HistoryLostError(
-                f"no history after {after_version}",
-                step=step,
-                peer=self._calls.address,
-            )
+            raise self._history_lost(after_version, step)
         answer = self._calls.decode(reply, RowsAnswer, step)
+        if reply.era != era:
+            # Changes up to a version of another era say nothing about this one.
+            raise self._history_lost(after_version, step)
+        date_rows(answer, reply.era)
         return self._table_change(answer, table, after_version)
 
     async def transact(self, writes: Sequence[Write]) -> dict[str, int]:
         """Apply all writes atomically.
 
+        A version from before the store came back from an older copy counts as another
+        one, as the store may have given the same number out again.
+
         :return: new versions by key (0 for a deleted row).
         :raises TransactionConflictError: a row had another version than expected.
         :raises PlatformUnavailableError: the transaction may or may not be applied.
@@ -233,6 +247,14 @@
         step = "store.transact"
         if not writes:
             return {}
+        era = self.era
+        outdated = [
+            write.key
+            for write in writes
+            if write.expect != ABSENT and era_of(write.expect) < era
+        ]
+        if outdated:
+            raise await self._outdated_error(outdated, writes, step)
         body = self._transaction_body(writes, step)
         reply = await self._calls.call(
             "POST", "/rows-tx", step, body=body, headers=JSON_HEADERS
@@ -345,6 +367,7 @@
             query["target"] = target
         reply = await self._calls.call("GET", "/rows-get", step, query)
         page = self._calls.decode(reply, RowsAnswer, step)
+        date_rows(page, reply.era)
         if len(page.rows) > limit:
             raise self._calls.malformed("more rows than asked for", step)
         last: str | None = None
@@ -425,11 +448,30 @@
             raise PlatformError(message, step=step, peer=self._calls.address)
         return body
 
+    async def _outdated_error(
+        self, outdated: list[str], writes: Sequence[Write], step: str
+    ) -> TransactionConflictError:
+        """Return the error of writes that expect versions from before a restore."""
+        rows_by_key = await self.read([write.key for write in writes])
+        return TransactionConflictError(
+            outdated, step=step, peer=self._calls.address, rows_by_key=rows_by_key
+        )
+
+    def _history_lost(self, version: int, step: str) -> HistoryLostError:
+        message = f"no history after {version}"
+        return HistoryLostError(message, step=step, peer=self._calls.address)
+
     def _applied_version(self, reply: Reply, writes: Sequence[Write], step: str) -> int:
         """Return the version at which a transaction was applied."""
         if reply.status == HTTPStatus.PRECONDITION_FAILED:
             raise self._conflict_error(reply, writes, step)
         version = self._calls.decode(reply, TransactionAnswer, step).row_version
+        version = version_in_era(reply.era, version)
+        if any(
+            write.expect != ABSENT and era_of(write.expect) != reply.era
+            for write in writes
+        ):
+            raise self._calls.unavailable("the store was restored meanwhile", step)
         if version <= max(write.expect for write in writes):
             raise self._calls.malformed(f"version {version} is not new", step)
         return version
@@ -439,6 +481,7 @@
     ) -> PlatformError:
         """Return the error with the rows that had another version than expected."""
         answer = self._calls.decode_body(reply, ConflictAnswer, step)
+        date_rows(answer, reply.era)
         keys = {write.key for write in writes}
         rows_by_key: dict[str, Row] = {}
         for row in answer.rows:
--- a/bluebellshore/platform/store_messages.py
+++ b/bluebellshore/platform/store_messages.py
@@ -7,10 +7,16 @@
 import msgspec
 
 from bluebellshore.errors import PlatformError
-from bluebellshore.store.interface import Row, Write
+from bluebellshore.store.interface import (
+    VERSIONS_PER_ERA,
+    Row,
+    Write,
+    version_in_era,
+)
 
 __all__ = [
     "PART",
+    "date_rows",
     "ConflictAnswer",
     "NamesAnswer",
     "RowMessage",
@@ -145,6 +151,14 @@
     return table, rest
 
 
+def date_rows(answer: RowsAnswer | ConflictAnswer, era: int) -> None:
+    """Order the versions in an answer by the era of the store that it names."""
+    for row in answer.rows:
+        row.row_version = version_in_era(era, row.row_version)
+    if isinstance(answer, RowsAnswer):
+        answer.row_version = version_in_era(era, answer.row_version)
+
+
 def row_of(message: RowMessage) -> Row:
     """Convert a row of an answer.
 
@@ -168,7 +182,7 @@
     for write in writes:
         table, rest = split_key(write.key)
         transaction.expected_revision.append(
-            _ExpectedVersion(table, PART, rest, write.expect)
+            _ExpectedVersion(table, PART, rest, write.expect % VERSIONS_PER_ERA)
         )
         if write.value is None:
             transaction.remove.append(_RemoveEntry(table, PART, rest))
--- a/bluebellshore/store/__init__.py
+++ b/bluebellshore/store/__init__.py
@@ -3,6 +3,7 @@
 from bluebellshore.store.instances import TableInstances
 from bluebellshore.store.interface import (
     ABSENT,
+    VERSIONS_PER_ERA,
     ChangeFeedTable,
     Instance,
     InstanceList,
@@ -15,6 +16,8 @@
     TableService,
     TableSnapshot,
     Write,
+    era_of,
+    version_in_era,
 )
 from bluebellshore.store.memory import (
     MemoryFaults,
@@ -43,5 +46,8 @@
     "TableInstances",
     "TableService",
     "TableSnapshot",
+    "VERSIONS_PER_ERA",
     "Write",
+    "era_of",
+    "version_in_era",
 ]
--- a/bluebellshore/store/interface.py
+++ b/bluebellshore/store/interface.py
@@ -26,9 +26,15 @@
     "TableChange",
     "TableService",
     "TableSnapshot",
+    "VERSIONS_PER_ERA",
     "Write",
+    "era_of",
+    "version_in_era",
 ]
 
+#: Versions of one era of the store. The store gives its own versions out again each
+#: time that it comes back from an older copy; the era that it names tells them apart.
+VERSIONS_PER_ERA = 10**12
 #: ``Write.expect`` of a row that must not exist.
 ABSENT = 0
 #: Writes in one transaction. The platform accepts 100 entries in a call and counts the
@@ -52,6 +58,7 @@
 
     :param version: increases with each write of the row, by more than one if other
         rows were written in between: the versions of all rows come from one counter.
+        It also increases when the store comes back from an older copy.
     """
 
     key: str
@@ -59,6 +66,19 @@
     value: bytes
 
 
+def era_of(version: int) -> int:
+    """Return the era of the store in which it gave out a version."""
+    return version // VERSIONS_PER_ERA
+
+
+def version_in_era(era: int, version: int) -> int:
+    """Return a version that is ordered by its era first.
+
+    :param version: as the store gave it out in that era; :data:`ABSENT` stays as it is.
+    """
+    return era * VERSIONS_PER_ERA + version if version != ABSENT else ABSENT
+
+
 class StoreTime(msgspec.Struct, frozen=True):
     """Reading of the store's steady clock, received with an answer.
 
