Repeat what a router drew and settled when the store came back without it

Cause: a budget's row goes back, and the router adds what it settles from then on to a total that lacks the lost span; what it had drawn there is granted again. A router whose row the copy lacks took itself for fenced.

Each transaction writes the incarnation's row with its number, so the number in the row that came back tells which transactions the copy has. For 3 s nothing is drawn, so that the others can do the same; requests are served from what is held. Earlier incarnations that a copy brings back are recovered again and all that they held counts as spent. Weighed: absolute totals by incarnation in the budget's row, which never lets an entry go and breaks with builds that don't know the field; bills kept until a copy can't lack them, which says nothing of tokens drawn.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -88,6 +88,7 @@
     :param interval_factor: returns a factor on the intervals of settlements, reviews
         and heartbeats. It keeps the load on the store constant where there are many
         routers.
+    :param era: returns how often the store has come back from an older copy.
     """
 
     def __init__(
@@ -104,6 +105,7 @@
         writes_ledger: bool = True,
         refresh_seconds: Callable[[], float] = lambda: math.inf,
         interval_factor: Callable[[], float] = lambda: 1.0,
+        era: Callable[[], int] = lambda: 0,
     ):
         #: Called with True when the platform stops answering, with False when it
         #: answers again.
@@ -131,6 +133,7 @@
             prepaid,
             lambda attempt: self.on_settled(attempt),
             writes_ledger=writes_ledger,
+            era=era,
         )
         self._committer.on_applied = lambda transaction: self.on_applied(transaction)
         #: Whether heartbeats may write the incarnation's row without any budget's row.
@@ -199,6 +202,14 @@
             self._budgets_to_review.add(budget)
         self._request_commit()
 
+    def note_restored(self) -> None:
+        """Repeat at once what a store that came back from an older copy lacks.
+
+        Nothing is drawn until other incarnations have had time for that as well.
+        """
+        self._committer.note_restored(self._clock())
+        self._request_commit()
+
     def request_listing(self, sidecar: IncarnationId) -> None:
         """List a sidecar in the incarnation's row with the next transaction.
 
@@ -389,6 +400,11 @@
                 "the table service gives no tokens",
                 PLATFORM_PEER,
             )
+        if self._committer.holds_draws(self._clock()):
+            return self._overload_error(
+                "the table service was restored, and all holders of tokens are awaited",
+                PLATFORM_PEER,
+            )
         if self.accounts.account(waiter.budget).free >= waiter.tokens:
             return self._overload_error(
                 "cap of unsettled tokens reached",
--- a/bluebellshore/budget/committer.py
+++ b/bluebellshore/budget/committer.py
@@ -11,6 +11,7 @@
 
 from bluebellshore.budget.accounts import AllotmentAccounts
 from bluebellshore.budget.policy import AllotmentPolicy
+from bluebellshore.budget.replay import ChangeLog
 from bluebellshore.budget.rows import (
     BillMarker,
     IncarnationRow,
@@ -39,10 +40,15 @@
     Row,
     TableService,
     Write,
+    era_of,
 )
 
 __all__ = ["CommitResult", "TransactionCommitter"]
 
+#: Time after a restore of the store in which nothing is drawn, so that the other
+#: incarnations can repeat what they had drawn and settled.
+RESTORE_HOLD_SECONDS = 3.0
+
 
 class CommitResult(Enum):
     """Result of one call to commit."""
@@ -64,6 +70,8 @@
     :param on_settled: called with each attempt whose bill is settled or dropped.
     :param writes_ledger: whether each bill is written to the ledger, not only the sums
         of bills to the budgets' rows.
+    :param era: returns how often the store has come back from an older copy. Where it
+        may grow, the process is the only one that fences incarnations of its instance.
     """
 
     def __init__(
@@ -76,6 +84,7 @@
         on_settled: Callable[[str], None],
         *,
         writes_ledger: bool = True,
+        era: Callable[[], int] = lambda: 0,
     ):
         #: Called with each transaction that is known to be committed.
         self.on_applied: Callable[[Transaction], None] = lambda transaction: None
@@ -90,6 +99,13 @@
         self._builder = TransactionBuilder(
             incarnation, accounts, policy, prepaid, writes_ledger=writes_ledger
         )
+        self._era = era
+        self._known_era: int | None = None
+        #: Whether the store came back from a copy that was not compared yet.
+        self._restored = False
+        self._change_log = ChangeLog()
+        self._first_row: IncarnationRow | None = None
+        self._committed_at = 0.0
         self._unresolved: list[Transaction] = []
         self._last_read_version = ABSENT
 
@@ -113,11 +129,26 @@
 
         :raises PlatformError: the platform did not answer; the call may be repeated.
         """
+        self._first_row = row
         key = incarnation_key(self._incarnation)
         try:
             await self._table.transact([Write(key, ABSENT, encode_row(row))])
         except TransactionConflictError:
             pass  # an earlier call took effect: incarnation ids are never reused
+        if self._known_era is None:
+            self._known_era = self._era()
+
+    def holds_draws(self, now: float) -> bool:
+        """Return whether nothing is drawn, as the store was restored just before."""
+        return now < self._builder.holds_draws_until
+
+    def note_restored(self, now: float) -> None:
+        """Draw nothing for a while if the store came back from an older copy."""
+        era = self._era()
+        if self._known_era is not None and era > self._known_era:
+            self._restored = True
+            self._builder.holds_draws_until = now + RESTORE_HOLD_SECONDS
+        self._known_era = era
 
     async def commit(
         self,
@@ -135,10 +166,21 @@
         self.partial = len(budgets) < len(required)
         own_key = incarnation_key(self._incarnation)
         rows = await self._table.read([own_key, *map(budget_key, budgets)])
+        self.note_restored(now)
+        if self._restored and not await self._compare_with_copy(rows.get(own_key)):
+            return CommitResult.CONFLICT
         self._check_freshness(rows.get(own_key))
         current = self._resolve(rows.get(own_key))
         if current is None:
             return CommitResult.NOTHING
+        self._committed_at = now
+        if self._change_log.lost_changes():
+            result = await self._repeat_lost_changes(
+                current, rows[own_key], now, max_budgets
+            )
+            if result is CommitResult.CONFLICT:
+                return result
+            return await self.commit(request, now, max_budgets)
         transaction = self._builder.build(
             current,
             rows,
@@ -152,6 +194,38 @@
             return CommitResult.NOTHING
         return await self._transact(transaction)
 
+    async def _compare_with_copy(self, row: Row | None) -> bool:
+        """Find the changes that a restored store lacks.
+
+        :param row: this incarnation's row in the store.
+        :return: False if the row was lost and had to be created again, or was read
+            before the restore.
+        """
+        if row is None:
+            await self.create(self._first_row)
+            return False
+        if era_of(row.version) < self._known_era:
+            return False
+        sequence = decode_row(row, IncarnationRow).sequence
+        self._change_log.find_lost(sequence, self._builder.next_sequence)
+        self._restored = False
+        return True
+
+    async def _repeat_lost_changes(
+        self,
+        current: IncarnationRow,
+        own_row: Row,
+        now: float,
+        max_budgets: int,
+    ) -> CommitResult:
+        """Repeat the lost changes of as many budgets as fit into a transaction."""
+        most = min(max_budgets, MAX_TRANSACTION_WRITES - 1)
+        changes = dict(list(self._change_log.lost_changes().items())[:most])
+        rows = await self._table.read(list(map(budget_key, changes)))
+        rows[own_row.key] = own_row
+        transaction = self._builder.build_repetition(current, rows, changes, now)
+        return await self._transact(transaction)
+
     def _check_freshness(self, row: Row | None) -> None:
         """Refuse a read, from a cache, that is older than an earlier one.
 
@@ -229,6 +303,10 @@
 
     def _apply(self, transaction: Transaction) -> None:
         self._unresolved.remove(transaction)
+        self._change_log.record(
+            transaction.sequence, transaction.changes(), self._committed_at
+        )
+        self._change_log.record_repeated(transaction.sequence, transaction.repeated)
         for budget, tokens in transaction.grants.items():
             self._accounts.add_grant(budget, tokens)
         for budget, tokens in transaction.returns.items():
--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -81,16 +81,20 @@
         self._rng = rng or random.Random()
         self._store_time = store_time
         self._died_before: float | None = None
+        self._caps_hold = True
         self._table = table
         self._own = own
         self._instance_id = instance_id
 
-    async def recover(self) -> list[RecoveredIncarnation]:
+    async def recover(self, *, caps_hold: bool = True) -> list[RecoveredIncarnation]:
         """Recover all earlier incarnations.
 
+        :param caps_hold: whether the caps in their rows bound what they spent. They
+            don't in rows that came back with an older copy of the store.
         :return: those that had not closed their rows.
         :raises PlatformError: the platform did not answer; another call continues.
         """
+        self._caps_hold = caps_hold
         recovered = []
         rows = await self._incarnation_rows()
         if self._died_before is None and (store_time := self._store_time()):
@@ -169,7 +173,8 @@
     def _spent_at_most(
         self, own: Allotment, budget: BudgetId, incarnation_row: IncarnationRow
     ) -> Tokens:
-        if not incarnation_row.caps_hold(self._died_before):
+        caps_hold = incarnation_row.caps_hold(self._died_before)
+        if not (self._caps_hold and caps_hold):
             return own.outstanding
         return min(own.outstanding, incarnation_row.cap_at(budget, self._died_before))
 
--- a/bluebellshore/budget/transaction_builder.py
+++ b/bluebellshore/budget/transaction_builder.py
@@ -1,11 +1,13 @@
 """Builds the transactions of one incarnation from its accounts and stored rows."""
 
+import math
 from collections.abc import Callable
 
 import msgspec
 
 from bluebellshore.budget.accounts import AllotmentAccounts, SpendingLimits
 from bluebellshore.budget.policy import AllotmentPolicy, AllotmentView
+from bluebellshore.budget.replay import BudgetChange
 from bluebellshore.budget.rows import (
     Allotment,
     Bill,
@@ -126,6 +128,8 @@
     :param returns: tokens that it returns, by budget.
     :param partial: some budgets did not fit and are left to the next transaction.
     :param limits: limits that the incarnation's row has once it is committed.
+    :param repeated: changes of earlier transactions that a restored store lacks and
+        that it makes again, by budget.
     """
 
     sequence: int
@@ -138,6 +142,18 @@
     partial: bool = False
 
     limits: SpendingLimits = SpendingLimits([], {})
+    repeated: dict[BudgetId, BudgetChange] = msgspec.field(default_factory=dict)
+
+    def changes(self) -> dict[BudgetId, BudgetChange]:
+        """Return how the transaction changes budgets, but for repeated changes."""
+        changes: dict[BudgetId, BudgetChange] = {}
+        for budget, tokens in self.billed().items():
+            changes[budget] = BudgetChange(tokens, -tokens)
+        for sign, tokens_by_budget in ((1, self.grants), (-1, self.returns)):
+            for budget, tokens in tokens_by_budget.items():
+                change = changes.setdefault(budget, BudgetChange())
+                change.outstanding += sign * tokens
+        return changes
 
     def billed(self) -> dict[BudgetId, Tokens]:
         """Return the tokens that the transaction settles, by budget."""
@@ -168,6 +184,8 @@
         writes_ledger: bool = True,
     ):
         self.balances_by_budget: dict[BudgetId, BudgetBalance] = {}
+        #: Local time until which no tokens are drawn.
+        self.holds_draws_until = -math.inf
         self._incarnation = incarnation
         self._accounts = accounts
         self._policy = policy
@@ -180,6 +198,44 @@
         self._views_by_budget: dict[BudgetId, AllotmentView] = {}
         self._sequence = 0
 
+    @property
+    def next_sequence(self) -> int:
+        """Number of the next transaction."""
+        return self._sequence + 1
+
+    def build_repetition(
+        self,
+        current: IncarnationRow,
+        rows: dict[str, Row],
+        changes: dict[BudgetId, BudgetChange],
+        now: float,
+    ) -> Transaction:
+        """Build a transaction that repeats changes which a restored store lacks.
+
+        :param current: the incarnation's row, which is changed in place.
+        :param rows: its row and those of the budgets, by key.
+        """
+        self._sequence += 1
+        own_row = rows[incarnation_key(self._incarnation)]
+        transaction = Transaction(
+            self._sequence, own_row.version, current, repeated=changes
+        )
+        for budget, change in changes.items():
+            row = rows.get(budget_key(budget))
+            budget_row = decode_row(row, BudgetRow) or BudgetRow()
+            own = budget_row.allotments.setdefault(self._incarnation, Allotment())
+            budget_row.settled = Tokens(budget_row.settled + change.settled)
+            own.outstanding = Tokens(max(0, own.outstanding + change.outstanding))
+            own.sequence = transaction.sequence
+            if not own.outstanding and not own.wanted:
+                del budget_row.allotments[self._incarnation]
+            version = ABSENT if row is None else row.version
+            write = Write(budget_key(budget), version, encode_row(budget_row))
+            transaction.writes.append(write)
+        limits = self._accounts.desired_limits({}, {}, now)
+        self._add_incarnation_row(transaction, limits, CommitRequest({}, {}))
+        return transaction
+
     def required_budgets(self, request: CommitRequest, now: float) -> list[BudgetId]:
         """Return the budgets whose rows a transaction must read."""
         budgets = {*request.demands_by_budget, *request.reviewed_budgets}
@@ -349,7 +405,7 @@
         own.wanted = Tokens(0)
         if not surplus and not request.closing:
             wanted_by_peers = Tokens(sum(want[0] for want in peer_wants))
-            grant = self._tokens_to_draw(view, demand, wanted_by_peers)
+            grant = self._tokens_to_draw(view, demand, wanted_by_peers, now)
             payable = self.balances_by_budget[budget].tokens
             # What the budget can't pay for is no reason to write its row.
             if demand is not None and view.free + grant < demand.smallest <= payable:
@@ -421,7 +477,11 @@
         return wanted
 
     def _tokens_to_draw(
-        self, view: AllotmentView, demand: Demand | None, wanted_by_peers: Tokens
+        self,
+        view: AllotmentView,
+        demand: Demand | None,
+        wanted_by_peers: Tokens,
+        now: float,
     ) -> Tokens:
         """Return the tokens to draw.
 
@@ -432,7 +492,7 @@
         """
         lacking = 0 if demand is None else max(0, demand.total - view.free)
         smallest = 0 if demand is None else demand.smallest - view.free
-        if smallest > view.unallotted:
+        if smallest > view.unallotted or now < self.holds_draws_until:
             return Tokens(0)
         view = msgspec.structs.replace(view, shortfall=Tokens(lacking))
         uncontested = max(0, view.unallotted - wanted_by_peers)
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -131,6 +131,7 @@
     :param incarnation: unique name of this run of the instance; generated when left
         out.
     :param started_at: a time by `clock` at which this process was already running.
+    :param store_era: returns how often the store has come back from an older copy.
     """
 
     def __init__(
@@ -149,6 +150,7 @@
         intervals: AccountantIntervals = ACCOUNTANT_INTERVALS,
         incarnation: IncarnationId | None = None,
         started_at: float = math.inf,
+        store_era: Callable[[], int] = lambda: 0,
         log: DecisionLog | None = None,
         metrics: EntryMetrics | None = None,
     ):
@@ -200,6 +202,7 @@
             accounts=self._accounts,
             writes_ledger=False,
             refresh_seconds=refresh_seconds,
+            era=store_era,
             interval_factor=lambda: max(
                 1.0, refresh_seconds() / ACCOUNTANT_INTERVALS.heartbeat_seconds
             ),
@@ -237,6 +240,7 @@
         self._reservations_by_attempt: dict[str, _Reservation] = {}
         self._name_count = 0
         self._tasks: list[asyncio.Task] = []
+        self._restored = asyncio.Event()
 
     @property
     def fenced(self) -> bool:
@@ -354,6 +358,11 @@
         if affected:
             self._accountant.schedule_review(affected)
 
+    def note_restored(self) -> None:
+        """Repeat what a store that came back from an older copy lacks."""
+        self._accountant.note_restored()
+        self._restored.set()
+
     def drain(self) -> None:
         """Return all tokens but those reserved for requests, which are still served."""
         self._draining = True
@@ -401,9 +410,20 @@
             )
 
     async def _recover_predecessors(self) -> None:
+        """Recover earlier incarnations, again each time that a copy brings them back.
+
+        What they did after a copy is not known any more.
+        """
+        await self._recover_all(caps_hold=True)
+        while True:
+            await self._restored.wait()
+            self._restored.clear()
+            await self._recover_all(caps_hold=False)
+
+    async def _recover_all(self, *, caps_hold: bool) -> None:
         while True:
             try:
-                recovered = await self._predecessors.recover()
+                recovered = await self._predecessors.recover(caps_hold=caps_hold)
                 break
             except PlatformError as error:
                 self._budget_log.log.notice("predecessors", str(error))
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -167,6 +167,7 @@
             peers=self._peers,
             store_time=lambda: self._store.time,
             started_at=STARTED_AT,
+            store_era=lambda: self._store.era,
             incarnation=self.incarnation,
             log=self._log,
             metrics=self._metrics,
@@ -450,6 +451,7 @@
             versions=self._platform_state.versions(),
             era=era,
         )
+        self._budgets.note_restored()
 
     def _record_backpressure(
         self, server: BackendServer, stated: Backpressure, sent_at: float
