Show that requests reach a backend server after its answers said that it leaves

The stand-in backend server can say so in all its answers while its entry stays ready. The stand-in can also turn requests away with a pause, for the next test.

--- a/bluebellshore/standin/runner.py
+++ b/bluebellshore/standin/runner.py
@@ -109,6 +109,9 @@
     :ivar arrivals: all requests that arrived, refused ones as well.
     :ivar faults: faults of the next runs, one each.
     :ivar gate: runs do not end while it is clear.
+    :ivar says_it_leaves: whether all its answers say so, whatever its entry says.
+    :ivar pause_seconds: turns all requests away, and asks for a pause of so long; None
+        to run them.
     :ivar requests_per_second: rate that its answers name for all routers together;
         None for no limit. It refuses nothing because of it.
     """
@@ -130,6 +133,8 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.requests_per_second: float | None = None
+        self.says_it_leaves = False
+        self.pause_seconds: float | None = None
         self.state = "ready"
         #: Whether heartbeats reach the store.
         self.heard = True
@@ -243,6 +248,10 @@
             return self._refuse(seen, 400, "no id")
         if seen.headers.get("x-expected-runner", self.runner_id) != self.runner_id:
             return self._refuse(seen, 421, "misdirected")
+        if self.pause_seconds is not None:
+            response = self._refuse(seen, 503, "pause")
+            response.headers["Retry-After"] = str(self.pause_seconds)
+            return response
         if self._held >= self.settings.slots + self.settings.queued:
             return self._refuse(seen, 503, "full")
         left = seen.headers.get("x-deadline-ms")
@@ -347,6 +356,8 @@
         }
         if self.requests_per_second is not None:
             headers["Server-Limit"] = str(self.requests_per_second)
+        if self.says_it_leaves:
+            headers["Server-Leaving"] = "1"
         return headers
 
 
--- a/tests/test_entry_backpressure.py
+++ b/tests/test_entry_backpressure.py
@@ -18,6 +18,10 @@
 #: don't count.
 TOLD_SLACK_SECONDS = 0.5
 
+#: From so long after a server asked for a pause until its end, at most so many requests
+#: of one router reach it.
+PAUSE_SLACK_SECONDS, MOST_IN_A_PAUSE = 0.5, 2
+
 
 def most_allowed(requests_per_second):
     """Return the requests that a limited server may get within the window."""
@@ -164,3 +168,19 @@
         allowed = most_allowed(limited.requests_per_second)
         self.assertLessEqual(most_in_window(counted), allowed)
         self.assertTrue(counted, "no router uses the rate that is left")
+
+    async def test_request_reaches_a_server_that_said_it_leaves(self):
+        # Its entry still says that it is ready.
+        (instance,) = await self.start_routers(1)
+        leaving = self.runners[0]
+        leaving.says_it_leaves = True
+
+        async def told():
+            _, headers, _ = await self.call(instance, "/safe/a")
+            return "Server-Leaving" in headers
+
+        await wait_until(told, "an answer that says so")
+        arrived = len(leaving.arrivals)
+        for _ in range(20):
+            self.assertEqual(200, (await self.call(instance, "/safe/a"))[0])
+        self.assertEqual(arrived, len(leaving.arrivals))
