Send nothing more to a backend server whose answers say that it leaves

From the first such answer on, the router sends it nothing until it is started again, tells its peers with what else servers state, and logs it as leaving; requests in flight go on. What waits is placed elsewhere at the next look at the queue, and refused at once where no other server may take it.

--- a/bluebellshore/backend/answer.py
+++ b/bluebellshore/backend/answer.py
@@ -81,9 +81,11 @@
 
     :param requests_per_second: rate of requests that it takes from all senders
         together; None for no limit.
+    :param leaving: whether it takes no requests any more.
     """
 
     requests_per_second: float | None = None
+    leaving: bool = False
 
 
 class BackendRequest(msgspec.Struct, frozen=True):
--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -27,7 +27,7 @@
 #: Pause between checks of the waiting requests. A place that frees because a request of
 #: another router ended causes no event here.
 POLL_SECONDS = 0.03
-#: Retry-After when backend servers limit their rate and other routers share it.
+#: Retry-After when backend servers take nothing from this router for an unknown time.
 LIMITED_RETRY_AFTER_SECONDS = 1.0
 
 
@@ -286,7 +286,7 @@
 
         :param wait_seconds: time until one does; None if that is unknown.
         """
-        reason = "every backend server limits its rate"
+        reason = "every backend server limits what it takes, or leaves"
         if wait_seconds is None:
             return PlacementRefusal(reason, LIMITED_RETRY_AFTER_SECONDS)
         if wait_seconds > MAX_WAIT_OBJECTIVES * call.route.objective_seconds:
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -23,7 +23,6 @@
     write_blames,
     write_crashes,
 )
-from bluebellshore.entry.limit_messages import read_limits, write_limits
 from bluebellshore.entry.loans import Loan, LoanServer
 from bluebellshore.entry.peer_selection import (
     EXCHANGE_INTERVAL_SECONDS,
@@ -34,6 +33,7 @@
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.rollout_messages import read_reports, write_reports
 from bluebellshore.entry.rollouts import RolloutController
+from bluebellshore.entry.statement_messages import read_statements, write_statements
 from bluebellshore.errors import InsufficientBudgetError, LinkError
 from bluebellshore.ids import (
     BackendServerId,
@@ -43,7 +43,7 @@
     PartId,
     Tokens,
 )
-from bluebellshore.routing.backpressure import BackpressureTracker, RateLimit
+from bluebellshore.routing.backpressure import BackpressureTracker, ServerStatement
 from bluebellshore.routing.crash_tracker import CrashReport, CrashTracker
 from bluebellshore.routing.load import CachedPart, LoadReport, LoadTracker, ServerLoad
 from bluebellshore.routing.results import ResultCounts
@@ -125,8 +125,8 @@
     :param store_lost: returns whether this router lacks the store, in which case peers
         send it table rows.
     :param bind: ``host:port`` to listen on if that is not `address`.
-    :param on_limit: called with each change of a server's rate limit that a peer told,
-        and the peer's address.
+    :param on_statement: called with each new statement of a backend server that a peer
+        told, and the peer's address.
     :ivar leaving: whether this router is shutting down; it lends no more tokens.
     """
 
@@ -144,10 +144,10 @@
         log: DecisionLog | None = None,
         bind: str = "",
         backpressure: BackpressureTracker | None = None,
-        on_limit: Callable[[RateLimit, str], None] = lambda limit, source: None,
+        on_statement: Callable[[ServerStatement, str], None] = lambda *arguments: None,
     ):
         self._backpressure = backpressure or BackpressureTracker()
-        self._on_limit = on_limit
+        self._on_statement = on_statement
         self._log = log or silent_log()
         self._address = address
         self._bind = bind or address
@@ -274,8 +274,8 @@
             read_answered_parts(state, now),
             read_blames(state, now),
         )
-        for limit in self._backpressure.merge(read_limits(state, now)):
-            self._on_limit(limit, state.address)
+        for stated in self._backpressure.merge(read_statements(state, now)):
+            self._on_statement(stated, state.address)
         self._loads.merge_report(incarnation, _decode_load_report(state), now)
         if self.rollouts is not None:
             self.rollouts.merge(incarnation, read_reports(state))
@@ -386,7 +386,7 @@
         self._write_updates(
             state, [update for update in self._recent_updates if update.number > sent]
         )
-        write_limits(self._backpressure.limits(), state, time.monotonic())
+        write_statements(self._backpressure.statements(), state, time.monotonic())
         if self.rollouts is not None:
             write_reports(self.rollouts.reports(), state)
         state.peers.extend(other.address for other in self.alive())
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -54,7 +54,7 @@
 from bluebellshore.platform.settings import load_settings
 from bluebellshore.platform.store import PlatformStore
 from bluebellshore.rollouts import ExposureLimit
-from bluebellshore.routing.backpressure import BackpressureTracker, RateLimit
+from bluebellshore.routing.backpressure import BackpressureTracker, ServerStatement
 from bluebellshore.routing.crash_tracker import CrashTracker
 from bluebellshore.routing.load import LoadTracker
 from bluebellshore.routing.outlier_detection import OutlierDetector
@@ -143,7 +143,7 @@
             store_lost=lambda: self._watch.lost,
             log=self._log,
             backpressure=self._backpressure,
-            on_limit=self._log_limit,
+            on_statement=self._log_statement,
         )
         self._router_registry = RouterRegistry(
             self._store,
@@ -454,22 +454,25 @@
         self._budgets.note_restored()
 
     def _record_backpressure(
-        self, server: BackendServer, stated: Backpressure, sent_at: float
+        self, server: BackendServer, asked: Backpressure, sent_at: float
     ) -> None:
         now = asyncio.get_running_loop().time()
-        limit = self._backpressure.record_answer(server, stated, sent_at, now)
-        if limit is not None:
-            self._log_limit(limit)
-
-    def _log_limit(self, limit: RateLimit, peer: str = "") -> None:
-        """Log a change of a backend server's limit, stated to this router or a peer."""
-        rate = limit.requests_per_second
+        stated = self._backpressure.record_answer(server, asked, sent_at, now)
+        if stated is not None:
+            self._log_statement(stated)
+
+    def _log_statement(self, stated: ServerStatement, peer: str = "") -> None:
+        """Log what a backend server stated to this router or a peer."""
+        belief = Belief.LEAVING
+        if not stated.leaving:
+            limited = stated.requests_per_second is not None
+            belief = Belief.LIMITED if limited else Belief.UNLIMITED
         self._log.backend_server(
-            limit.server_id,
-            Belief.UNLIMITED if rate is None else Belief.LIMITED,
+            stated.server_id,
+            belief,
             reason=f"told by {peer}" if peer else "stated in its answer",
-            born=limit.started_unix_ms,
-            inputs={"requests_per_second": rate},
+            born=stated.started_unix_ms,
+            inputs={"requests_per_second": stated.requests_per_second},
         )
 
     def _update_rate_senders(self, now: float) -> None:
--- a/bluebellshore/experiments/rate_limits.py
+++ b/bluebellshore/experiments/rate_limits.py
@@ -271,7 +271,7 @@
         for other in self._rng.sample(self._routers, count):
             if other is not router and other.present and other.running:
                 for one, two in ((router, other), (other, router)):
-                    one.tracker.merge(two.tracker.limits())
+                    one.tracker.merge(two.tracker.statements())
 
     def _send(self, router: _Router, now: float) -> None:
         for number, server in enumerate(self._servers):
--- a/bluebellshore/platform/names.py
+++ b/bluebellshore/platform/names.py
@@ -7,6 +7,7 @@
     "EVENT_ID_HEADER",
     "EXPECTED_SERVER_HEADER",
     "KEY_HEADER",
+    "LEAVING_HEADER",
     "MODEL_HEADER",
     "NOT_RUN_HEADER",
     "OPERATOR_TABLE",
@@ -46,6 +47,8 @@
 PRIORITY_HEADER = "X-Request-Priority"
 #: Requests a second that a backend server takes from all routers together.
 RATE_LIMIT_HEADER = "Server-Limit"
+#: ``1`` in the answers of a backend server that is shutting down.
+LEAVING_HEADER = "Server-Leaving"
 #: Id of the last event received, at which a stream is resumed.
 EVENT_ID_HEADER = "Last-Event-Id"
 
--- a/bluebellshore/platform/requests.py
+++ b/bluebellshore/platform/requests.py
@@ -15,6 +15,7 @@
     EVENT_ID_HEADER,
     EXPECTED_SERVER_HEADER,
     KEY_HEADER,
+    LEAVING_HEADER,
     MODEL_HEADER,
     NOT_RUN_HEADER,
     PRIORITY_HEADER,
@@ -152,7 +153,10 @@
     :param headers: case-insensitive mapping, not validated. A value that is no number
         counts as absent.
     """
-    return Backpressure(_parse_limit(headers.get(RATE_LIMIT_HEADER, "")))
+    return Backpressure(
+        requests_per_second=_parse_limit(headers.get(RATE_LIMIT_HEADER, "")),
+        leaving=headers.get(LEAVING_HEADER, "").strip() == "1",
+    )
 
 
 def _parse_limit(value: str) -> float | None:
--- a/bluebellshore/routing/backpressure.py
+++ b/bluebellshore/routing/backpressure.py
@@ -12,7 +12,7 @@
 from bluebellshore.fleet import BackendServer
 from bluebellshore.ids import BackendServerId
 
-__all__ = ["BackpressureTracker", "RateLimit"]
+__all__ = ["BackpressureTracker", "ServerStatement"]
 
 #: Requests that a router may send at once after a pause: so many, and its share of the
 #: rate in this time.
@@ -20,23 +20,25 @@
 BURST_SECONDS = 0.5
 #: Rate that is assumed at least, so that some request finds out that a limit ended.
 MIN_REQUESTS_PER_SECOND = 0.1
-#: Time after which a limit of a server that isn't listed any more is forgotten. An
+#: Time after which what a server stated is forgotten if it isn't listed any more. An
 #: entry may lapse for a while, and its server may still be limited when it is back.
 FORGET_SECONDS = 600.0
 
 
-class RateLimit(msgspec.Struct, frozen=True):
-    """The rate of requests that a backend server takes from all routers together.
+class ServerStatement(msgspec.Struct, frozen=True):
+    """What a backend server asks of all routers together.
 
-    :param started_unix_ms: start of the server that named it.
-    :param requests_per_second: None if the server named no limit any more.
-    :param named_at: monotonic seconds of the latest answer that said so.
+    :param started_unix_ms: start of the server that states it.
+    :param requests_per_second: rate that it takes; None for no limit.
+    :param stated_at: monotonic seconds of the latest answer that said so.
+    :param leaving: whether it takes no requests any more.
     """
 
     server_id: BackendServerId
     started_unix_ms: int
     requests_per_second: float | None
-    named_at: float
+    stated_at: float
+    leaving: bool = False
 
 
 class _TokenBucket(msgspec.Struct):
@@ -61,7 +63,7 @@
 
 
 class BackpressureTracker:
-    """Keeps the newest rate limit of each backend server, and this router's share.
+    """Keeps what backend servers last stated, and this router's share of their rates.
 
     :param share: returns this router's share of a server's rate, given the server, the
         rate in requests a second and the time in monotonic seconds.
@@ -74,83 +76,114 @@
         ] = lambda server_id, rate, now: rate,
     ) -> None:
         self._share = share
-        self._limits_by_server: dict[BackendServerId, RateLimit] = {}
+        self._statements_by_server: dict[BackendServerId, ServerStatement] = {}
         self._buckets_by_server: dict[BackendServerId, _TokenBucket] = {}
 
     @property
     def limited_count(self) -> int:
         """Number of backend servers that name a limit."""
-        limits = self._limits_by_server.values()
-        return sum(limit.requests_per_second is not None for limit in limits)
+        statements = self._statements_by_server.values()
+        return sum(stated.requests_per_second is not None for stated in statements)
 
     def limit_of(self, server: BackendServer) -> float | None:
         """Return the rate that a server takes, in requests a second; None for any."""
-        limit = self._limits_by_server.get(server.server_id)
-        if limit is None or limit.started_unix_ms != server.started_unix_ms:
-            return None
-        return limit.requests_per_second
+        stated = self._statement_of(server)
+        return None if stated is None else stated.requests_per_second
+
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a server said that it leaves."""
+        stated = self._statement_of(server)
+        return stated is not None and stated.leaving
 
     def record_answer(
-        self, server: BackendServer, stated: Backpressure, sent_at: float, now: float
-    ) -> RateLimit | None:
-        """Note what an answer states. :return: the limit if it changed.
+        self, server: BackendServer, asked: Backpressure, sent_at: float, now: float
+    ) -> ServerStatement | None:
+        """Note what an answer states. :return: the server's statement if it changed.
 
         :param sent_at: monotonic seconds at which the request was sent. An answer
             without a limit lifts one that was named before that only, as answers on
             different connections may overtake each other.
         :param now: monotonic seconds.
         """
-        known = self._limits_by_server.get(server.server_id)
-        if known is not None and known.started_unix_ms != server.started_unix_ms:
-            known = None
-        rate = stated.requests_per_second
-        if rate is None and (known is None or known.named_at >= sent_at):
+        known = self._statement_of(server)
+        rate, stated_at = asked.requests_per_second, now
+        if rate is None and known is None and not asked.leaving:
             return None
-        before = None if known is None else known.requests_per_second
-        limit = RateLimit(server.server_id, server.started_unix_ms, rate, now)
-        self._limits_by_server[server.server_id] = limit
-        return limit if rate != before else None
-
-    def merge(self, limits: Iterable[RateLimit]) -> list[RateLimit]:
-        """Take over what peers know better. :return: limits that changed."""
+        if rate is None and known is not None and known.stated_at >= sent_at:
+            rate, stated_at = known.requests_per_second, known.stated_at
+        stated = ServerStatement(
+            server.server_id, server.started_unix_ms, rate, stated_at, asked.leaving
+        )
+        return stated if self._update(stated) else None
+
+    def merge(self, statements: Iterable[ServerStatement]) -> list[ServerStatement]:
+        """Take over what peers know better. :return: statements that are new."""
         changed = []
-        for limit in limits:
-            known = self._limits_by_server.get(limit.server_id)
-            if known is not None:
-                if known.started_unix_ms > limit.started_unix_ms:
+        for stated in statements:
+            known = self._statements_by_server.get(stated.server_id)
+            if known is not None and known.started_unix_ms > stated.started_unix_ms:
+                continue
+            same_start = (
+                known is not None and known.started_unix_ms == stated.started_unix_ms
+            )
+            if same_start and known.stated_at >= stated.stated_at:
+                if not stated.leaving or known.leaving:
                     continue
-                restarted = known.started_unix_ms < limit.started_unix_ms
-                if not restarted and known.named_at >= limit.named_at:
-                    continue
-            before = None if known is None else known.requests_per_second
-            self._limits_by_server[limit.server_id] = limit
-            if limit.requests_per_second != before:
-                changed.append(limit)
+                stated = msgspec.structs.replace(known, leaving=True)
+            if self._update(stated):
+                changed.append(stated)
         return changed
 
-    def limits(self) -> list[RateLimit]:
+    def statements(self) -> list[ServerStatement]:
         """Return all that is known, for peers; ended limits as well."""
-        return list(self._limits_by_server.values())
+        return list(self._statements_by_server.values())
 
     def forget_unlisted(
         self, listed: Callable[[BackendServerId], bool], now: float
     ) -> None:
-        """Drop the limits that no longer matter.
+        """Drop the statements that no longer matter.
 
         :param listed: returns whether a server has an entry.
         """
-        for server_id, limit in list(self._limits_by_server.items()):
-            if now - limit.named_at > FORGET_SECONDS and (
-                limit.requests_per_second is None or not listed(server_id)
+        for server_id, stated in list(self._statements_by_server.items()):
+            matters = stated.requests_per_second is not None or stated.leaving
+            if now - stated.stated_at > FORGET_SECONDS and not (
+                matters and listed(server_id)
             ):
-                del self._limits_by_server[server_id]
+                del self._statements_by_server[server_id]
                 self._buckets_by_server.pop(server_id, None)
 
+    def _statement_of(self, server: BackendServer) -> ServerStatement | None:
+        stated = self._statements_by_server.get(server.server_id)
+        if stated is None or stated.started_unix_ms != server.started_unix_ms:
+            return None
+        return stated
+
+    def _update(self, stated: ServerStatement) -> bool:
+        """Keep a statement. :return: whether it says something new.
+
+        A server that leaves does so until it is started again.
+        """
+        known = self._statements_by_server.get(stated.server_id)
+        if known is None or known.started_unix_ms != stated.started_unix_ms:
+            self._statements_by_server[stated.server_id] = stated
+            return True
+        stated = msgspec.structs.replace(
+            stated, leaving=stated.leaving or known.leaving
+        )
+        self._statements_by_server[stated.server_id] = stated
+        return (stated.requests_per_second, stated.leaving) != (
+            known.requests_per_second,
+            known.leaving,
+        )
+
     def seconds_until_allowed(self, server: BackendServer, now: float) -> float | None:
         """Return the time until this router may send to a server; 0 for at once.
 
         :return: None if it may not for an unknown time.
         """
+        if self.is_leaving(server):
+            return None
         rate = self.limit_of(server)
         if rate is None:
             self._buckets_by_server.pop(server.server_id, None)
--- a/tests/test_entry_backpressure.py
+++ b/tests/test_entry_backpressure.py
@@ -62,6 +62,17 @@
         self.assertIsNotNone(tracker.record_answer(limited, Backpressure(), 1.1, 1.6))
         self.assertIsNone(tracker.limit_of(limited))
 
+    def test_leaving_is_told_on_and_ends_with_a_restart_only(self):
+        told, other, leaving = BackpressureTracker(), BackpressureTracker(), server("a")
+        told.record_answer(leaving, Backpressure(leaving=True), 0.0, 1.0)
+        told.record_answer(leaving, Backpressure(), 1.5, 2.0)
+        self.assertIsNone(told.seconds_until_allowed(leaving, 3.0))
+        other.record_answer(leaving, Backpressure(2.0), 0.0, 9.0)
+        self.assertEqual(1, len(other.merge(told.statements())))
+        self.assertIsNone(other.seconds_until_allowed(leaving, 10.0))
+        again = server("a", started_unix_ms=2)
+        self.assertEqual(0.0, other.seconds_until_allowed(again, 10.0))
+
     def test_limit_ends_with_a_restart_of_the_server(self):
         tracker = BackpressureTracker()
         first = server("a", started_unix_ms=1)
