--- a/tests/test_entry_backpressure.py
+++ b/tests/test_entry_backpressure.py
@@ -195,3 +195,27 @@
         for _ in range(20):
             self.assertEqual(200, (await self.call(instance, "/safe/a"))[0])
         self.assertEqual(arrived, len(leaving.arrivals))
+
+    async def test_requests_reach_a_server_that_asked_for_a_pause(self):
+        (instance,) = await self.start_routers(1)
+        pausing, other = self.runners[:2]
+        pausing.pause_seconds = 3.0
+        other.settings.seconds = 0.2
+        statuses = []
+
+        async def send():
+            statuses.append((await self.call(instance, "/safe/a"))[0])
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(24):
+                group.create_task(send())
+                await asyncio.sleep(0.1)
+        self.assertEqual({200}, set(statuses))
+        ends_at = pausing.arrivals[0].at + pausing.pause_seconds
+        late = [
+            seen
+            for seen in pausing.arrivals[1:]
+            if PAUSE_SLACK_SECONDS <= seen.at - pausing.arrivals[0].at
+            and seen.at < ends_at
+        ]
+        self.assertLessEqual(len(late), MOST_IN_A_PAUSE)
