Send nothing to a backend server in the pause that it asked for

A server that turned requests away with 503 and Retry-After got 17 more of one router in those 3 s, 2 allowed. The router now keeps the pause, for itself only, as the server asks each sender; it ends with a restart of the server.

--- a/bluebellshore/backend/answer.py
+++ b/bluebellshore/backend/answer.py
@@ -82,10 +82,12 @@
     :param requests_per_second: rate of requests that it takes from all senders
         together; None for no limit.
     :param leaving: whether it takes no requests any more.
+    :param pause_seconds: time for which it wants nothing from this sender.
     """
 
     requests_per_second: float | None = None
     leaving: bool = False
+    pause_seconds: float = 0.0
 
 
 class BackendRequest(msgspec.Struct, frozen=True):
--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -286,7 +286,7 @@
 
         :param wait_seconds: time until one does; None if that is unknown.
         """
-        reason = "every backend server limits what it takes, or leaves"
+        reason = "every backend server limits what it takes, pauses or leaves"
         if wait_seconds is None:
             return PlacementRefusal(reason, LIMITED_RETRY_AFTER_SECONDS)
         if wait_seconds > MAX_WAIT_OBJECTIVES * call.route.objective_seconds:
--- a/bluebellshore/platform/requests.py
+++ b/bluebellshore/platform/requests.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterable, Mapping
+from http import HTTPStatus
 
 import msgspec
 
@@ -154,12 +155,15 @@
         counts as absent.
     """
     return Backpressure(
-        requests_per_second=_parse_limit(headers.get(RATE_LIMIT_HEADER, "")),
+        requests_per_second=_parse_decimal(headers.get(RATE_LIMIT_HEADER, "")),
         leaving=headers.get(LEAVING_HEADER, "").strip() == "1",
+        pause_seconds=_parse_decimal(headers.get("Retry-After", "")) or 0.0
+        if status == HTTPStatus.SERVICE_UNAVAILABLE
+        else 0.0,
     )
 
 
-def _parse_limit(value: str) -> float | None:
+def _parse_decimal(value: str) -> float | None:
     try:
         number = float(value)
     except ValueError:
--- a/bluebellshore/routing/backpressure.py
+++ b/bluebellshore/routing/backpressure.py
@@ -78,6 +78,8 @@
         self._share = share
         self._statements_by_server: dict[BackendServerId, ServerStatement] = {}
         self._buckets_by_server: dict[BackendServerId, _TokenBucket] = {}
+        #: Start of each server that asked this router for a pause, and its end.
+        self._pauses_by_server: dict[BackendServerId, tuple[int, float]] = {}
 
     @property
     def limited_count(self) -> int:
@@ -105,6 +107,9 @@
             different connections may overtake each other.
         :param now: monotonic seconds.
         """
+        if asked.pause_seconds > 0.0:
+            pause = (server.started_unix_ms, now + asked.pause_seconds)
+            self._pauses_by_server[server.server_id] = pause
         known = self._statement_of(server)
         rate, stated_at = asked.requests_per_second, now
         if rate is None and known is None and not asked.leaving:
@@ -141,10 +146,13 @@
     def forget_unlisted(
         self, listed: Callable[[BackendServerId], bool], now: float
     ) -> None:
-        """Drop the statements that no longer matter.
+        """Drop the statements that no longer matter, and pauses that are over.
 
         :param listed: returns whether a server has an entry.
         """
+        for server_id, (_, ends_at) in list(self._pauses_by_server.items()):
+            if now >= ends_at:
+                del self._pauses_by_server[server_id]
         for server_id, stated in list(self._statements_by_server.items()):
             matters = stated.requests_per_second is not None or stated.leaving
             if now - stated.stated_at > FORGET_SECONDS and not (
@@ -184,6 +192,9 @@
         """
         if self.is_leaving(server):
             return None
+        started, ends_at = self._pauses_by_server.get(server.server_id, (0, 0.0))
+        if now < ends_at and started == server.started_unix_ms:
+            return ends_at - now
         rate = self.limit_of(server)
         if rate is None:
             self._buckets_by_server.pop(server.server_id, None)
--- a/tests/test_entry_backpressure.py
+++ b/tests/test_entry_backpressure.py
@@ -49,6 +49,14 @@
                 stated = read_backpressure(200, {"Server-Limit": value})
                 self.assertIsNone(stated.requests_per_second)
 
+    def test_pause_is_asked_for_by_503_only(self):
+        headers = {"Retry-After": "2.5"}
+        self.assertEqual(2.5, read_backpressure(503, headers).pause_seconds)
+        for status, value in ((429, "2.5"), (200, "2.5"), (503, "soon"), (503, "")):
+            with self.subTest(status=status, value=value):
+                stated = read_backpressure(status, {"Retry-After": value})
+                self.assertEqual(0.0, stated.pause_seconds)
+
 
 class BackpressureTrackerTest(unittest.TestCase):
     def test_limit_holds_until_a_later_request_is_answered_without_one(self):
