Take a newer configuration from peers than a restored store has

A router that started after the store came back from an older copy served by the older configuration until the operator wrote it again, while its peers knew the newer one.

--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -245,13 +245,23 @@
     ) -> pb.PeerReply:
         """Merge a peer's state, and answer with this router's state.
 
-        A peer without the store also gets the table rows that it lacks.
+        A peer without the store also gets the table rows that it lacks, and one with an
+        older configuration gets the newer one: the store may have come back without it.
         """
         peer = self._merge_state(request)
         reply = pb.PeerReply(state=self._state_for(peer))
         if peer is not None:
             # Updates in an answer that is lost are not sent again: these are hints.
             peer.last_round_sent = self._round_number
+        row = self._platform_state.configuration_row
+        if (
+            row is not None
+            and request.HasField("configuration")
+            and request.configuration < self._platform_state.configuration.number
+        ):
+            reply.configuration.CopyFrom(
+                pb.TableRow(key=row.key, version=row.version, value=row.value)
+            )
         if request.store_lost:
             versions = {item.table: item.version for item in request.versions}
             for table, change in self._platform_state.changes_since(versions).items():
@@ -364,12 +374,14 @@
 
     def _state_for(self, peer: Peer | None) -> pb.PeerState:
         """Return this router's state, with the updates not yet sent to `peer`."""
+        configuration = self._platform_state.configuration
         state = pb.PeerState(
             instance_id=self._instance_id,
             incarnation=self._incarnation,
             address=self._address,
             store_lost=self._store_lost(),
             leaving=self.leaving,
+            configuration=configuration.number if configuration else None,
         )
         for table, version in self._platform_state.versions().items():
             state.versions.add(table=table, version=version)
@@ -431,6 +443,11 @@
         peer.last_round_sent = round_number
         self._merge_state(reply.state)
         now = time.monotonic()
+        if reply.HasField("configuration"):
+            row = reply.configuration
+            self._platform_state.adopt_configuration(
+                Row(row.key, row.version, row.value), source=peer.address
+            )
         for table in reply.tables:
             # Rows come only during an outage, in which entries may have expired.
             change = _decode_table_rows(table)
--- a/bluebellshore/entry/platform_state.py
+++ b/bluebellshore/entry/platform_state.py
@@ -201,6 +201,27 @@
             self._removed_servers.pop(_server_id_of(oldest), None)
         table.version = max(table.version, change.version)
 
+    @property
+    def configuration_row(self) -> Row | None:
+        """Row of the configuration in force; None without one."""
+        if self.configuration is None:
+            return None
+        return self._tables[OPERATOR_TABLE].rows_by_key.get(CONFIGURATION_KEY)
+
+    def adopt_configuration(self, row: Row, *, source: str) -> None:
+        """Take a peer's configuration if its number is higher, whatever its version.
+
+        A store that came back from an older copy may lack it.
+        """
+        in_force = self.configuration.number if self.configuration else -1
+        if row.key != CONFIGURATION_KEY or _configuration_number(row) <= in_force:
+            return
+        rows_by_key = self._tables[OPERATOR_TABLE].rows_by_key
+        known = rows_by_key.get(CONFIGURATION_KEY)
+        version = row.version if known is None else max(row.version, known.version)
+        rows_by_key[CONFIGURATION_KEY] = Row(row.key, version, row.value)
+        self._apply_row(rows_by_key[CONFIGURATION_KEY], source)
+
     def _was_removed(self, row: Row) -> bool:
         """Return whether a row is an entry that had been removed before a restore."""
         if not row.key.startswith(f"{SERVERS_TABLE}/"):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -906,6 +906,53 @@
         "tests.test_runtime_signals.EarlyStopTest"
         ".test_time_to_stop_counts_from_a_signal_that_came_during_the_start",
     ),
+    Mutant(
+        "limit-kept-by-each-router",
+        "share of a rate that a backend server names",
+        "bluebellshore/routing/rate_senders.py",
+        "        return requests_per_second / len(senders) if self._own in senders"
+        " else 0.0\n",
+        "        return requests_per_second\n",
+        "tests.test_experiments_rate_limits.SharedRateTest"
+        ".test_routers_keep_a_rate_together_at_each_size",
+    ),
+    Mutant(
+        "minority-sends",
+        "majority of the members for a place at a limited server",
+        "bluebellshore/routing/rate_senders.py",
+        "        return 2 * len(members) > len(known)\n",
+        "        return True\n",
+        "tests.test_routing_rate_senders.RateSendersTest"
+        ".test_router_that_reaches_no_majority_sends_nothing",
+    ),
+    Mutant(
+        "era-ignored",
+        "order of versions by the store's era",
+        "bluebellshore/store/interface.py",
+        "    return era * VERSIONS_PER_ERA + version if version != ABSENT"
+        " else ABSENT\n",
+        "    return version\n",
+        "tests.test_entry_restored_store.RestoredStoreTest"
+        ".test_change_after_a_restore_is_not_in_force",
+    ),
+    Mutant(
+        "lost-changes-forgotten",
+        "repetition of what a restored store lacks",
+        "bluebellshore/budget/committer.py",
+        "        if self._change_log.lost_changes():\n            result",
+        "        if False:\n            result",
+        "tests.test_entry_restored_budgets.RestoredBudgetTest"
+        ".test_customer_spends_more_than_it_paid_after_a_restore",
+    ),
+    Mutant(
+        "drawn-at-once-after-a-restore",
+        "time for other routers to repeat their changes",
+        "bluebellshore/budget/transaction_builder.py",
+        " or now < self.holds_draws_until:\n",
+        ":\n",
+        "tests.test_budget_replay.HoldTest"
+        ".test_nothing_is_drawn_before_others_repeated_their_changes",
+    ),
 )
 
 
--- a/tests/test_budget_replay.py
+++ b/tests/test_budget_replay.py
@@ -1,13 +1,26 @@
 """Tests of the changes that an incarnation repeats after the store went back."""
 
+import asyncio
 import unittest
 
+from bluebellshore.budget import FixedPolicy
+from bluebellshore.budget.accounts import AllotmentAccounts
+from bluebellshore.budget.committer import (
+    RESTORE_HOLD_SECONDS,
+    CommitResult,
+    TransactionCommitter,
+)
 from bluebellshore.budget.replay import (
     MAX_COPY_AGE_SECONDS,
     BudgetChange,
     ChangeLog,
 )
+from bluebellshore.budget.rows import IncarnationRow
+from bluebellshore.budget.transaction_builder import CommitRequest, Demand
 from bluebellshore.ids import BudgetId
+from bluebellshore.platform.store import PlatformStore
+from bluebellshore.settings import PlatformSettings
+from bluebellshore.standin.platform import PlatformStandin
 
 A, B = BudgetId("a"), BudgetId("b")
 
@@ -64,3 +77,47 @@
         self.log.record(7, {}, MAX_COPY_AGE_SECONDS + 3.5)
         self.log.find_lost(0, 8)
         self.assertEqual({A: (2, -2), B: (0, 10)}, self.lost())
+
+
+class HoldTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin = PlatformStandin(PlatformSettings())
+        await self.standin.start()
+        self.addAsyncCleanup(self.standin.stop)
+
+    async def open(self, incarnation):
+        """Return a committer with its accounts and a client of the store."""
+        store = PlatformStore(self.standin.address)
+        await store.open()
+        self.addAsyncCleanup(store.close)
+        accounts = AllotmentAccounts(min_cap=10)
+        committer = TransactionCommitter(
+            store,
+            incarnation,
+            accounts,
+            FixedPolicy(0),
+            lambda budget: 10_000,
+            lambda attempt: None,
+            writes_ledger=False,
+            era=lambda: store.era,
+        )
+        await committer.create(IncarnationRow("instance"))
+        return committer, accounts
+
+    async def draw(self, committer, tokens, now):
+        demand = CommitRequest({A: Demand(tokens, tokens)}, {"s1": {A: tokens}})
+        while await committer.commit(demand, now) is CommitResult.CONFLICT:
+            pass
+
+    async def test_nothing_is_drawn_before_others_repeated_their_changes(self):
+        first, first_accounts = await self.open("r1.a")
+        second, _ = await self.open("r2.a")
+        await self.draw(first, 1_000, 0.0)
+        await asyncio.sleep(0.5)
+        await self.draw(second, 9_000, 0.0)
+        self.standin.state.rows.restore(0.3)
+        await self.draw(first, 5_000, 1.0)
+        self.assertEqual(1_000, first_accounts.account(A).free)
+        await self.draw(second, 9_000, 2.0)
+        await self.draw(first, 5_000, 2.0 + RESTORE_HOLD_SECONDS)
+        self.assertEqual(1_000, first_accounts.account(A).free)
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -12,7 +12,7 @@
 from bluebellshore.routing.crash_tracker import CrashTracker
 from bluebellshore.routing.load import LoadTracker
 from bluebellshore.standin.ports import reserve_address
-from bluebellshore.store import TableChange
+from bluebellshore.store import TableChange, version_in_era
 from tests.entry_fixtures import call, route, server
 from tests.test_entry_platform_state import configuration_row
 
@@ -117,6 +117,23 @@
             routers[1] = restarted
             await self.until(lambda: restarted.loads.cached_tokens(request, "s") == 500)
 
+    async def test_started_router_takes_an_older_configuration_from_the_store(
+        self,
+    ) -> None:
+        # The store came back from a copy, and the operator has yet to write again.
+        async with self.routers(2) as (first, started):
+            newest = configuration_row(5, version=990)
+            first.platform_state.apply("op", TableChange([newest], {}, 990), 0.0)
+            version = version_in_era(1, 600)
+            older = configuration_row(3, version=version)
+            started.platform_state.apply("op", TableChange([older], {}, version), 0.0)
+            state = started.platform_state
+            await self.until(lambda: state.configuration.number == 5)
+            version = version_in_era(1, 700)
+            again = configuration_row(6, version=version)
+            state.apply("op", TableChange([again], {}, version), 0.0)
+            self.assertEqual(6, state.configuration.number)
+
     async def test_crashes_reach_every_router(self) -> None:
         async with self.routers(3) as routers:
             for router in routers:
