Go on with an order of a rollout that is written again after a restore

A rollout began anew, also one whose version had been taken back, when the operator wrote its order again after the store came back from an older copy: an order is known by its row's version. The first row of an era with the same content is the same order now; a later one is new, as before.

--- a/bluebellshore/entry/platform_state.py
+++ b/bluebellshore/entry/platform_state.py
@@ -189,12 +189,15 @@
             if era_of(removed_version) < era_of(row.version) and self._was_removed(row):
                 table.removed_by_key[row.key] = row.version
                 continue
-            if known is not None and era_of(known.version) < era_of(row.version):
+            is_first_of_era = known is None or (
+                era_of(known.version) < era_of(row.version)
+            )
+            if known is not None and is_first_of_era:
                 row = self._newest_by_content(known, row)
             table.rows_by_key[row.key] = row
             table.removed_by_key.pop(row.key, None)
             if known is None or row.value is not known.value:
-                self._apply_row(row, source)
+                self._apply_row(row, source, is_first_of_era=is_first_of_era)
         while len(table.removed_by_key) > MAX_TOMBSTONES:
             oldest = next(iter(table.removed_by_key))
             del table.removed_by_key[oldest]
@@ -265,15 +268,30 @@
             changes[name] = TableChange(rows, removed, table.version)
         return changes
 
-    def _apply_row(self, row: Row, source: str) -> None:
+    def _apply_row(
+        self, row: Row, source: str, *, is_first_of_era: bool = False
+    ) -> None:
+        """Apply a new row.
+
+        :param is_first_of_era: whether no row of the key was known since the store came
+            back from an older copy.
+        """
         try:
             if row.key == CONFIGURATION_KEY:
                 self._apply_configuration(row, source)
             elif row.key.startswith(ROLLOUT_ORDER_PREFIX):
                 order = decode_rollout_order(row.value)
-                self.orders_by_service[order.service] = VersionedOrder(
-                    order, row.version
-                )
+                known = self.orders_by_service.get(order.service)
+                is_known = known is not None and known.order == order
+                # An operator writes the same order again after a restore.
+                if not (
+                    is_known
+                    and is_first_of_era
+                    and era_of(known.version) < era_of(row.version)
+                ):
+                    self.orders_by_service[order.service] = VersionedOrder(
+                        order, row.version
+                    )
             elif row.key.startswith(f"{SERVERS_TABLE}/"):
                 self._apply_server(row)
         except PlatformError as error:
@@ -388,7 +406,7 @@
     try:
         server = decode_server(known.server_id, row.value)
     except PlatformError:
-        return True
+        return False
     return (server.started_unix_ms, server.renewals) < (
         known.started_unix_ms,
         known.renewals,
--- a/tests/test_entry_platform_state.py
+++ b/tests/test_entry_platform_state.py
@@ -6,7 +6,7 @@
 
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.ids import ServiceName
-from bluebellshore.store import Row, TableChange, TableSnapshot
+from bluebellshore.store import Row, TableChange, TableSnapshot, version_in_era
 
 GRACE_SECONDS = 2.0
 SERVICE = ServiceName("s")
@@ -31,6 +31,11 @@
     return Row(f"servers/{name}", version, msgspec.json.encode(value | changes))
 
 
+def order_row(target: str, version: int) -> Row:
+    value = {"service": "s", "target": target, "durationS": 30.0}
+    return Row("op/rollout/s", version, msgspec.json.encode(value))
+
+
 def change(*rows: Row, removed: dict[str, int] | None = None) -> TableChange:
     versions = [row.version for row in rows] + list((removed or {}).values())
     return TableChange(list(rows), removed or {}, max(versions, default=0))
@@ -51,6 +56,36 @@
         self.platform_state.apply("op", change(configuration_row(3, 9)), 0.0)
         self.assertEqual(self.platform_state.configuration.number, 7)
 
+    def test_order_written_again_after_a_restore_begins_anew(self) -> None:
+        # A version that was taken back would get requests again.
+        state, restored = self.platform_state, version_in_era(1, 2)
+        state.apply("op", change(order_row("v2", 5)), 0.0)
+        state.apply("op", change(order_row("v2", restored)), 0.0)
+        self.assertEqual(5, state.orders_by_service[SERVICE].version)
+        state.apply("op", change(order_row("v2", restored + 1)), 0.0)
+        self.assertEqual(restored + 1, state.orders_by_service[SERVICE].version)
+        lost = TableSnapshot({}, version_in_era(2, 1))
+        state.apply_snapshot("op", lost, 0.0, after_outage=True)
+        again = order_row("v2", version_in_era(2, 2))
+        state.apply("op", change(again), 0.0)
+        self.assertEqual(restored + 1, state.orders_by_service[SERVICE].version)
+        state.apply("op", change(order_row("v3", version_in_era(2, 3))), 0.0)
+        self.assertEqual("v3", state.orders_by_service[SERVICE].order.target)
+
+    def test_entry_of_a_restored_store_is_older_than_what_is_known(self) -> None:
+        state = self.platform_state
+        known = server_row("a", 9, state="draining", seq=7, born=3)
+        state.apply("servers", change(known), 0.0)
+        for number, entry in enumerate(
+            ({"seq": 6, "born": 3}, {"seq": 9, "born": 2}), start=1
+        ):
+            row = server_row("a", version_in_era(number, 1), **entry)
+            state.apply("servers", change(row), 0.0)
+            self.assertEqual(set(), self.server_ids())
+        restarted = server_row("a", version_in_era(2, 2), seq=1, born=4)
+        state.apply("servers", change(restarted), 0.0)
+        self.assertEqual({"a"}, self.server_ids())
+
     def test_damaged_configuration_changes_nothing(self) -> None:
         self.platform_state.apply("op", change(configuration_row(7, 5)), 0.0)
         self.platform_state.apply("op", change(Row("op/config", 6, b"{")), 0.0)
