--- a/bluebellshore/experiments/rate_limits.py
+++ b/bluebellshore/experiments/rate_limits.py
@@ -27,6 +27,7 @@
 from bluebellshore.routing.rate_senders import RateSenders
 
 __all__ = [
+    "EXCESS_RATIO",
     "EXTRA_REQUESTS",
     "WINDOW_SECONDS",
     "Change",
@@ -38,7 +39,8 @@
     "play_shared_rate",
 ]
 
-#: Window and excess in which a limit is judged.
+#: Window in which a limit is judged, and the requests that a server tolerates in it: a
+#: half more than the limit allows, and some.
 WINDOW_SECONDS = 4.0
 EXCESS_RATIO = 1.5
 EXTRA_REQUESTS = 5
--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -22,7 +22,7 @@
     RowMessage,
     RowsAnswer,
     TransactionAnswer,
-    date_rows,
+    add_era,
     row_of,
     split_key,
     transaction_of,
@@ -231,7 +231,7 @@
         if reply.era != era:
             # Changes up to a version of another era say nothing about this one.
             raise self._history_lost(after_version, step)
-        date_rows(answer, reply.era)
+        add_era(answer, reply.era)
         return self._table_change(answer, table, after_version)
 
     async def transact(self, writes: Sequence[Write]) -> dict[str, int]:
@@ -367,7 +367,7 @@
             query["target"] = target
         reply = await self._calls.call("GET", "/rows-get", step, query)
         page = self._calls.decode(reply, RowsAnswer, step)
-        date_rows(page, reply.era)
+        add_era(page, reply.era)
         if len(page.rows) > limit:
             raise self._calls.malformed("more rows than asked for", step)
         last: str | None = None
@@ -481,7 +481,7 @@
     ) -> PlatformError:
         """Return the error with the rows that had another version than expected."""
         answer = self._calls.decode_body(reply, ConflictAnswer, step)
-        date_rows(answer, reply.era)
+        add_era(answer, reply.era)
         keys = {write.key for write in writes}
         rows_by_key: dict[str, Row] = {}
         for row in answer.rows:
--- a/bluebellshore/platform/store_messages.py
+++ b/bluebellshore/platform/store_messages.py
@@ -16,7 +16,7 @@
 
 __all__ = [
     "PART",
-    "date_rows",
+    "add_era",
     "ConflictAnswer",
     "NamesAnswer",
     "RowMessage",
@@ -151,8 +151,8 @@
     return table, rest
 
 
-def date_rows(answer: RowsAnswer | ConflictAnswer, era: int) -> None:
-    """Order the versions in an answer by the era of the store that it names."""
+def add_era(answer: RowsAnswer | ConflictAnswer, era: int) -> None:
+    """Put the era of the store before the versions in its answer."""
     for row in answer.rows:
         row.row_version = version_in_era(era, row.row_version)
     if isinstance(answer, RowsAnswer):
--- a/tests/test_entry_backpressure.py
+++ b/tests/test_entry_backpressure.py
@@ -5,15 +5,18 @@
 import unittest
 
 from bluebellshore.backend import Backpressure
+from bluebellshore.experiments.rate_limits import (
+    EXCESS_RATIO,
+    EXTRA_REQUESTS,
+    WINDOW_SECONDS,
+    most_in_window,
+)
 from bluebellshore.load.fleet import wait_until
 from bluebellshore.platform.requests import read_backpressure
 from bluebellshore.routing.backpressure import BackpressureTracker
 from tests.entry_fixtures import server
 from tests.entry_system import EntryTestCase
 
-#: Window and slack in which a limit is judged: a half more than it allows in the
-#: window, and some requests.
-WINDOW_SECONDS, EXCESS_RATIO, EXTRA_REQUESTS = 4.0, 1.5, 5
 #: Time after a router passed on an answer with the limit, before which its requests
 #: don't count.
 TOLD_SLACK_SECONDS = 0.5
@@ -28,16 +31,6 @@
     return EXCESS_RATIO * WINDOW_SECONDS * requests_per_second + EXTRA_REQUESTS
 
 
-def most_in_window(times):
-    """Return the largest number of `times`, in seconds, within the window."""
-    times, most, first = sorted(times), 0, 0
-    for last, at in enumerate(times):
-        while at - times[first] > WINDOW_SECONDS:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 class ReadBackpressureTest(unittest.TestCase):
     def test_limit_is_a_decimal_number(self):
         stated = read_backpressure(200, {"Server-Limit": "2.4"})
