--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -173,8 +173,9 @@
     def _spent_at_most(
         self, own: Allotment, budget: BudgetId, incarnation_row: IncarnationRow
     ) -> Tokens:
-        caps_hold = incarnation_row.caps_hold(self._died_before)
-        if not (self._caps_hold and caps_hold):
+        if not self._caps_hold:
+            return own.outstanding
+        if not incarnation_row.caps_hold(self._died_before):
             return own.outstanding
         return min(own.outstanding, incarnation_row.cap_at(budget, self._died_before))
 
