Take values that nest too deeply for malformed ones

The readers handle only errors of the platform, so the router stopped following the store. Cause: msgspec raises RecursionError, which is no error of its own. The same held for configurations, records, settings, budget and incarnation rows, claims, jobs, leases, moves, bundle rows and events of engines. Change: one function decodes what another process wrote, and raises msgspec's error.

--- a/bluebellshore/budget/recovery.py
+++ b/bluebellshore/budget/recovery.py
@@ -21,6 +21,7 @@
     ledger_key,
     ledger_prefix,
 )
+from bluebellshore.decoding import decode_json
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
 from bluebellshore.store.interface import (
     ABSENT,
@@ -142,7 +143,7 @@
         while True:
             page = await self._table.scan(prefix, after, SCAN_PAGE_ROWS)
             for row in page:
-                ledger = msgspec.json.decode(row.value, type=LedgerRow)
+                ledger = decode_json(row.value, LedgerRow)
                 attempts.update(bill.attempt for bill in ledger.bills)
             if len(page) < SCAN_PAGE_ROWS:
                 return attempts
--- a/bluebellshore/budget/rows.py
+++ b/bluebellshore/budget/rows.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.ids import (
     BudgetId,
     CustomerId,
@@ -261,7 +262,7 @@
     """Return the decoded value of a row, None when the row is absent."""
     if row is None:
         return None
-    return msgspec.json.decode(row_json(row.value), type=row_type)
+    return decode_json(row_json(row.value), row_type)
 
 
 def encode_uncompressed(value: msgspec.Struct) -> bytes:
--- a/bluebellshore/bundle/format.py
+++ b/bluebellshore/bundle/format.py
@@ -21,6 +21,7 @@
     SignedBundle,
     Version,
 )
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import BundleError
 
 __all__ = [
@@ -261,6 +262,6 @@
     :raises BundleError: the file is unreadable or malformed.
     """
     try:
-        return msgspec.json.decode(_read_file(path), type=SignedBundle)
+        return decode_json(_read_file(path), SignedBundle)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise BundleError([str(error)], step=PARSE_STEP, peer=str(path)) from None
--- a/bluebellshore/bundle/rows.py
+++ b/bluebellshore/bundle/rows.py
@@ -20,6 +20,7 @@
 )
 from bluebellshore.bundle.model import Bundle, SignedBundle
 from bluebellshore.bundle.signing import decode_payload
+from bluebellshore.decoding import decode_msgpack
 from bluebellshore.errors import BundleError
 from bluebellshore.ids import BundleNumber
 from bluebellshore.store.interface import (
@@ -100,7 +101,7 @@
     :raises BundleError: the row is malformed.
     """
     try:
-        return msgspec.msgpack.decode(value, type=StoredUpdate)
+        return decode_msgpack(value, StoredUpdate)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise BundleError([f"{key}: {error}"], step="bundle.read") from None
 
@@ -115,7 +116,7 @@
     if row is None:
         return None, 0
     try:
-        return msgspec.msgpack.decode(row.value, type=Head), row.version
+        return decode_msgpack(row.value, Head), row.version
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise BundleError([f"{HEAD_KEY}: {error}"], step="bundle.read") from None
 
--- a/bluebellshore/bundle/succession.py
+++ b/bluebellshore/bundle/succession.py
@@ -7,6 +7,7 @@
 
 from bluebellshore.bundle.delta import SECTIONS, diff_bundles
 from bluebellshore.bundle.model import Bundle, Move
+from bluebellshore.decoding import decode_json
 from bluebellshore.ids import MoveId, RouteName, VersionName
 
 __all__ = [
@@ -49,7 +50,7 @@
     A malformed value and an unknown state count as open.
     """
     try:
-        state = msgspec.json.decode(value, type=_MoveRow).state
+        state = decode_json(value, _MoveRow).state
         return MoveOutcome(state.replace("_", "-"))
     except (msgspec.DecodeError, ValueError):
         return MoveOutcome.OPEN
--- a/bluebellshore/decisions/reading.py
+++ b/bluebellshore/decisions/reading.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bluebellshore.decisions.kinds import Kind
+from bluebellshore.decoding import decode_json
 
 __all__ = ["ProcessId", "ReadTally", "Record", "read_records"]
 
@@ -100,9 +101,6 @@
     key: str = ""
 
 
-_common_decoder = msgspec.json.Decoder(_CommonFields)
-
-
 def read_records(
     lines: Iterable[bytes], source: str, request: str, tally: ReadTally
 ) -> Iterator[Record]:
@@ -121,7 +119,7 @@
         tally.lines += 1
         try:
             record = _parse_record(text, source, request)
-        except (msgspec.MsgspecError, UnicodeError):
+        except msgspec.MsgspecError:
             tally.damaged += 1
             continue
         if record is not None:
@@ -129,13 +127,13 @@
 
 
 def _parse_record(text: bytes, source: str, request: str) -> Record | None:
-    common = _common_decoder.decode(text)
+    common = decode_json(text, _CommonFields)
     record_request = common.request or common.key
     if record_request != request and (
         record_request or common.message_type not in STATE_KINDS
     ):
         return None
-    fields = msgspec.json.decode(text, type=dict[str, object])
+    fields = decode_json(text, dict[str, object])
     has_process = bool(common.instance or common.incarnation)
     return Record(
         process=ProcessId(
--- a/bluebellshore/duties/claims.py
+++ b/bluebellshore/duties/claims.py
@@ -9,6 +9,7 @@
 import eliot
 import msgspec
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.duties.answers import BodyStore, Header, StoredAnswer, StoredBody
 from bluebellshore.duties.group_commit import GROUP_WINDOW_SECONDS, GroupCommit
 from bluebellshore.duties.retry import back_off, retry_until_answered
@@ -238,7 +239,7 @@
         """Return the result for the row found; None if it may be claimed."""
         if found is None:
             return None
-        other = msgspec.json.decode(found.value, type=ClaimRow)
+        other = decode_json(found.value, ClaimRow)
         if other.claim_id == row.claim_id:
             return self._claimed_result(row)
         if other.state is ClaimState.RELEASED:
@@ -285,7 +286,7 @@
             found = await self._read(key)
             if found is None:
                 return
-            row = msgspec.json.decode(found.value, type=ClaimRow)
+            row = decode_json(found.value, ClaimRow)
             if row.claim_id != claim_id or row.state not in allowed:
                 return
             changed = msgspec.structs.replace(row, state=state, **changes)
@@ -315,7 +316,7 @@
         while True:
             found = await self._read(key)
             if found is not None:
-                other = msgspec.json.decode(found.value, type=ClaimRow)
+                other = decode_json(found.value, ClaimRow)
                 is_released = other.state is ClaimState.RELEASED
                 if other.claim_id != row.claim_id and not is_released:
                     return
--- a/bluebellshore/duties/jobs.py
+++ b/bluebellshore/duties/jobs.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.duties.answers import BodyStore, Header, StoredAnswer, StoredBody
 from bluebellshore.errors import (
     OverloadError,
@@ -293,4 +294,4 @@
 
 def decode_job(row: Row) -> JobRow:
     """Decode the value of a job's row."""
-    return msgspec.json.decode(row.value, type=JobRow)
+    return decode_json(row.value, JobRow)
--- a/bluebellshore/duties/lease.py
+++ b/bluebellshore/duties/lease.py
@@ -7,6 +7,7 @@
 import eliot
 import msgspec
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import PlatformError, TransactionConflictError
 from bluebellshore.ids import Epoch, IncarnationId
 from bluebellshore.store.interface import ABSENT, Row, TableService, Write
@@ -150,7 +151,7 @@
             return None
         observed = self._observed_by_name.get(name)
         if observed is None or observed.version != row.version:
-            value = msgspec.json.decode(row.value, type=LeaseRow)
+            value = decode_json(row.value, LeaseRow)
             observed = self._observed_by_name[name] = _ObservedLease(
                 row.version, value, now
             )
--- a/bluebellshore/entry/router_registry.py
+++ b/bluebellshore/entry/router_registry.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bluebellshore.decisions import DecisionLog, silent_log
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import PlatformError
 from bluebellshore.ids import IncarnationId, InstanceId
 from bluebellshore.store import ABSENT, ChangeFeedTable, Row, Write
@@ -101,7 +102,7 @@
 
     def _decode(self, row: Row) -> _RouterRow | None:
         try:
-            return msgspec.json.decode(row.value, type=_RouterRow)
+            return decode_json(row.value, _RouterRow)
         except msgspec.MsgspecError as error:
             self._log.notice("row", str(error), key=row.key, row_version=row.version)
             return None
--- a/bluebellshore/events.py
+++ b/bluebellshore/events.py
@@ -9,6 +9,8 @@
 import msgspec
 import xxhash
 
+from bluebellshore.decoding import decode_json
+
 __all__ = [
     "EVENT_ID_BYTES",
     "EventStreamParser",
@@ -56,9 +58,6 @@
     usage: Usage | None = None
 
 
-_event_decoder = msgspec.json.Decoder(_Event)
-
-
 class StreamPosition(msgspec.Struct, frozen=True):
     """The position in an answer at which a caller resumes it.
 
@@ -103,7 +102,7 @@
     without a valid usage object is returned unchanged.
     """
     try:
-        decoded = msgspec.json.decode(event.partition(b"data:")[2])
+        decoded = decode_json(event.partition(b"data:")[2], object)
         usage = decoded["usage"]
         usage["completion_tokens"] += tokens
         if "total_tokens" in usage:
@@ -150,7 +149,7 @@
             self.done = True
             return
         try:
-            decoded = _event_decoder.decode(event.partition(b"data:")[2])
+            decoded = decode_json(event.partition(b"data:")[2], _Event)
         except msgspec.MsgspecError:
             return
         if decoded.usage is not None:
--- a/bluebellshore/moves/rows.py
+++ b/bluebellshore/moves/rows.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bluebellshore.bundle.model import Move
+from bluebellshore.decoding import decode_json
 from bluebellshore.ids import BundleNumber, Epoch, MoveId, RouteName, VersionName
 from bluebellshore.store import Row
 
@@ -76,4 +77,4 @@
 
 def decode_row(row: Row) -> MoveRow:
     """Decode the value of a move's row."""
-    return msgspec.json.decode(row.value, type=MoveRow)
+    return decode_json(row.value, MoveRow)
--- a/bluebellshore/platform/configuration.py
+++ b/bluebellshore/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import PlatformError
 from bluebellshore.fleet import (
     Configuration,
@@ -113,16 +114,13 @@
     tenants: list[_Tenant] | None = None
 
 
-_decoder = msgspec.json.Decoder(_Configuration)
-
-
 def decode_configuration(value: bytes) -> Configuration:
     """Decode the value of the configuration row.
 
     :raises PlatformError: the value is malformed.
     """
     try:
-        message = _decoder.decode(value)
+        message = decode_json(value, _Configuration)
         return _convert_configuration(message)
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         raise PlatformError(
--- a/bluebellshore/platform/rollouts.py
+++ b/bluebellshore/platform/rollouts.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import PlatformError
 from bluebellshore.ids import VersionName
 from bluebellshore.rollouts.state import RolloutRecord, RolloutState
@@ -43,7 +44,7 @@
     :raises PlatformError: the value is malformed.
     """
     try:
-        return msgspec.json.decode(value, type=RolloutRecord)
+        return decode_json(value, RolloutRecord)
     except msgspec.MsgspecError as error:
         raise PlatformError(
             f"malformed rollout record: {error}", step="rollouts.decode"
--- a/bluebellshore/platform/servers.py
+++ b/bluebellshore/platform/servers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import PlatformError
 from bluebellshore.fleet import BackendServer, RolloutOrder, ServerState
 from bluebellshore.ids import BackendServerId, ServiceName, VersionName, ZoneName
@@ -43,7 +44,7 @@
     :raises PlatformError: the entry is malformed.
     """
     try:
-        entry = msgspec.json.decode(value, type=_ServerEntry)
+        entry = decode_json(value, _ServerEntry)
         host, _, port = entry.address.rpartition(":")
         if not host or entry.slots < 1:
             raise ValueError(f"address {entry.address!r}, slots {entry.slots}")
@@ -74,7 +75,7 @@
     :raises PlatformError: the value is malformed.
     """
     try:
-        order = msgspec.json.decode(value, type=_RolloutOrder)
+        order = decode_json(value, _RolloutOrder)
     except msgspec.MsgspecError as error:
         raise PlatformError(
             f"malformed rollout order: {error}", step="rollouts.decode"
--- a/bluebellshore/platform/settings.py
+++ b/bluebellshore/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bluebellshore.decisions import LogLevel
+from bluebellshore.decoding import decode_json
 from bluebellshore.entry.settings import EntrySettings
 from bluebellshore.errors import SettingsError
 
@@ -157,7 +158,7 @@
     :return: the message with defaults for invalid fields; None if it is no object.
     """
     try:
-        fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+        fields = decode_json(raw, dict[str, msgspec.Raw])
     except msgspec.MsgspecError as error:
         problems.append(f"{path or 'file'}: {error}")
         return None
@@ -173,7 +174,7 @@
                 values[field.name] = section
             continue
         try:
-            values[field.name] = msgspec.json.decode(value, type=field.type)
+            values[field.name] = decode_json(value, field.type)
         except msgspec.MsgspecError as error:
             problems.append(f"{name}: {error}")
     return message_type(**values)
--- a/bluebellshore/platform/store_calls.py
+++ b/bluebellshore/platform/store_calls.py
@@ -10,6 +10,7 @@
 import msgspec
 from yarl import URL
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import PlatformError, PlatformUnavailableError
 from bluebellshore.store.interface import StoreTime
 
@@ -170,8 +171,8 @@
         :raises PlatformError: the body is malformed.
         """
         try:
-            return msgspec.json.decode(reply.body, type=message_type)
-        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+            return decode_json(reply.body, message_type)
+        except (msgspec.DecodeError, ValueError) as error:
             raise self.malformed(str(error), step) from error
 
     def malformed(self, reason: str, step: str) -> PlatformError:
--- a/bluebellshore/porcelain/readback.py
+++ b/bluebellshore/porcelain/readback.py
@@ -8,6 +8,7 @@
 from bluebellshore.budget.rows import BudgetRow, budget_key, row_json
 from bluebellshore.bundle.model import Move
 from bluebellshore.bundle.store import BundleStore
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import BluebellshoreError, PlatformError
 from bluebellshore.ids import BudgetId, BundleNumber, MoveId, Tokens
 from bluebellshore.moves.rows import MoveRow, MoveState, move_key
@@ -126,7 +127,7 @@
 
 def _decode(value: bytes, kind: type, peer: str) -> object:
     try:
-        return msgspec.json.decode(row_json(value), type=kind)
+        return decode_json(row_json(value), kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise PlatformError(str(error), step="row.decode", peer=peer) from None
 
@@ -165,7 +166,7 @@
     role = InstanceRole.ROUTER.value
     try:
         answer = await dump_state(router.address, token)
-        state = msgspec.json.decode(answer, type=_RouterState)
+        state = decode_json(answer, _RouterState)
     except BluebellshoreError as error:
         return [RolloutView(router.instance_id, role, None, error.message)]
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
--- a/bluebellshore/sidecar/backend.py
+++ b/bluebellshore/sidecar/backend.py
@@ -10,6 +10,7 @@
 import msgspec
 from yarl import URL
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import BackendServerError
 from bluebellshore.events import (
     EventStreamParser,
@@ -265,7 +266,7 @@
     @staticmethod
     def _usage_tokens(body: bytes) -> int:
         try:
-            usage = msgspec.json.decode(body, type=_AnswerBody).usage
+            usage = decode_json(body, _AnswerBody).usage
         except msgspec.MsgspecError as error:
             raise BackendServerError(
                 f"malformed answer: {error}", step="backend.execute"
--- a/bluebellshore/store/instances.py
+++ b/bluebellshore/store/instances.py
@@ -6,6 +6,7 @@
 import eliot
 import msgspec
 
+from bluebellshore.decoding import decode_json
 from bluebellshore.errors import (
     HistoryLostError,
     PlatformError,
@@ -245,7 +246,7 @@
 
 def _decode(row: Row) -> _Entry | None:
     try:
-        return msgspec.json.decode(row.value, type=_Entry)
+        return decode_json(row.value, _Entry)
     except (msgspec.DecodeError, ValueError) as error:
         eliot.log_message("instance_malformed", key=row.key, reason=str(error))
         return None
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -76,6 +76,9 @@
     return json.dumps(value).encode()
 
 
+DEEPLY_NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
 class ConfigurationTest(unittest.TestCase):
     def decode(self):
         return decode_configuration(encode(make_configuration()))
@@ -163,6 +166,7 @@
             "kind": damaged(lambda fields: fields["routes"][0].update(routeKind="x")),
             "time": damaged(lambda fields: fields["routes"][0].update(timeoutMs=None)),
             "key": damaged(lambda fields: fields["tenants"][0].update(apiKeys=[5])),
+            "nested": encode(make_configuration())[:-1] + b',"x":%b}' % DEEPLY_NESTED,
         }
         for name, value in cases.items():
             with self.subTest(name), self.assertRaises(PlatformError) as caught:
@@ -221,6 +225,15 @@
                 self.decode(**changes)
             self.assertEqual(caught.exception.peer, "s-4")
 
+    def test_odd_entry_ends_the_router_that_reads_it(self):
+        for name, value in {
+            "nested": encode(self.ENTRY)[:-1] + b',"novelty":%b}' % DEEPLY_NESTED,
+            "nested known field": encode(self.ENTRY).replace(b'"v3"', DEEPLY_NESTED),
+        }.items():
+            with self.subTest(name), self.assertRaises(PlatformError) as caught:
+                decode_server("s-4", value)
+            self.assertEqual("s-4", caught.exception.peer)
+
     def test_entry_cut_anywhere_names_no_server(self):
         value = encode(self.ENTRY)
         for end in range(len(value)):
@@ -236,6 +249,15 @@
             with self.assertRaises(PlatformError):
                 decode_rollout_order(encode({**fields, name: None}))
 
+    def test_odd_rollout_order_ends_the_router_that_reads_it(self):
+        fields = {"service": "engine", "target": "v4", "durationS": 45}
+        for name, value in {
+            "nested": encode(fields)[:-1] + b',"new":%b}' % DEEPLY_NESTED,
+            "nested known field": encode(fields).replace(b"45", DEEPLY_NESTED),
+        }.items():
+            with self.subTest(name), self.assertRaises(PlatformError):
+                decode_rollout_order(value)
+
 
 class RequestHeadTest(unittest.TestCase):
     HEADERS = (
--- /dev/null
+++ b/tests/test_untrusted_input.py
@@ -0,0 +1,235 @@
+"""Generated input for every reader of what another process wrote."""
+
+import json
+import os
+import unittest
+import zlib
+
+import msgspec
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from bluebellshore.budget.rows import BudgetRow, IncarnationRow, decode_row
+from bluebellshore.bundle.delta import decode_header, decode_update
+from bluebellshore.bundle.rows import decode_row as decode_bundle_row
+from bluebellshore.bundle.signing import decode_payload
+from bluebellshore.duties.jobs import decode_job
+from bluebellshore.entry.platform_state import PlatformState
+from bluebellshore.errors import BluebellshoreError
+from bluebellshore.events import EventStreamParser, add_completion_tokens
+from bluebellshore.moves.rows import decode_row as decode_move
+from bluebellshore.platform.configuration import decode_configuration
+from bluebellshore.platform.requests import RequestHead, read_backpressure
+from bluebellshore.platform.rollouts import decode_record
+from bluebellshore.platform.servers import decode_rollout_order, decode_server
+from bluebellshore.platform.settings import parse_settings_file
+from bluebellshore.router.calls import parse_chat_request
+from bluebellshore.store import Row
+from tests.test_entry_platform_state import change, configuration_row
+from tests.test_platform_decoding import ServerTest, encode, make_configuration
+
+#: Number of examples of each test with fresh seeds, for runs by hand.
+EXAMPLES_VARIABLE = "BLUEBELLSHORE_EXAMPLES"
+BY_HAND = int(os.environ.get(EXAMPLES_VARIABLE, 0))
+#: Without that variable each run tries the same examples.
+GENERATED = settings(
+    max_examples=BY_HAND or 40,
+    deadline=None,
+    derandomize=not BY_HAND,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+ORDER = {"service": "s", "target": "v2", "durationS": 30.0}
+RECORD = {
+    "order": 4,
+    "target": "v2",
+    "state": "in-progress",
+    "began_at": 1.0,
+    "replaced": ["v1"],
+}
+SETTINGS = {
+    "nodeName": "entry-1",
+    "zone": "a",
+    "listenAddresses": {"frontend": "10.0.0.1:80"},
+    "seedNodes": ["10.0.0.2:81"],
+    "limits": {"memoryMb": 200},
+    "bounds": {"drainMs": 2000},
+    "platformSettings": {"address": "10.0.0.3:82"},
+}
+BUDGET = {"settled": 5, "allotments": {"r.1": {"outstanding": 7, "sequence": 2}}}
+INCARNATION = {"instance_id": "r", "caps": {"c": 5}, "growth": {"c": 2}}
+#: Decoders that raise `BluebellshoreError`, with a value that they take.
+CHECKED = {
+    "server": (lambda value: decode_server("s-1", value), ServerTest.ENTRY),
+    "order": (decode_rollout_order, ORDER),
+    "configuration": (decode_configuration, make_configuration()),
+    "record": (decode_record, RECORD),
+    "settings": (parse_settings_file, SETTINGS),
+    "chat": (
+        parse_chat_request,
+        {"model": "m", "messages": [{"role": "user", "content": "x"}]},
+    ),
+    "update": (decode_update, {}),
+    "header": (decode_header, {}),
+    "bundle row": (lambda value: decode_bundle_row(value, "bundle/1"), {}),
+    "payload": (decode_payload, {}),
+}
+#: Decoders of the system's own rows, which raise msgspec's error.
+OWN_ROWS = {
+    "budget": (lambda value: decode_row(Row("budget/c", 1, value), BudgetRow), BUDGET),
+    "incarnation": (
+        lambda value: decode_row(Row("incarnation/r", 1, value), IncarnationRow),
+        INCARNATION,
+    ),
+    "job": (lambda value: decode_job(Row("job/1", 1, value)), {}),
+    "move": (lambda value: decode_move(Row("move/1", 1, value)), {}),
+}
+numbers = st.one_of(
+    st.integers(),
+    st.sampled_from([0, -1, 2**31, 2**63, 2**64, 10**30, 10**400, 1e300, -1e300]),
+    st.floats(allow_nan=False, allow_infinity=False),
+)
+texts = st.one_of(
+    st.text(max_size=20),
+    st.sampled_from(
+        ["", "\0", "a\r\nb: c", "10.0.0.1:0", "10.0.0.1:99999", "x" * 70000]
+    ),
+)
+values = st.recursive(
+    st.one_of(st.none(), st.booleans(), numbers, texts),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3),
+        st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    ),
+    max_leaves=6,
+)
+
+
+def paths(value: object, path: tuple = ()) -> list[tuple]:
+    """Return the paths of all values in a JSON document."""
+    found = [path]
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            found += paths(inner, (*path, name))
+    if isinstance(value, list):
+        for number, inner in enumerate(value):
+            found += paths(inner, (*path, number))
+    return found
+
+
+def replaced(value: object, path: tuple, new: object) -> object:
+    """Return a copy of a document with another value at `path`."""
+    if not path:
+        return new
+    first, *rest = path
+    if isinstance(value, dict):
+        return {**value, first: replaced(value[first], tuple(rest), new)}
+    return [
+        replaced(inner, tuple(rest), new) if number == first else inner
+        for number, inner in enumerate(value)
+    ]
+
+
+@st.composite
+def damaged(draw, value: object) -> bytes:
+    """Draw bytes that resemble the encoding of `value`."""
+    at = draw(st.sampled_from(paths(value)))
+    kind = draw(st.sampled_from(["value", "nested", "unknown", "cut", "flip", "bytes"]))
+    if kind == "bytes":
+        return draw(st.binary(max_size=60))
+    data = encode(replaced(value, at, draw(values)))
+    if kind == "nested":
+        mark = "replaced-below"
+        depth = draw(st.sampled_from([10, 1000, 100_000]))
+        opening, closing = draw(st.sampled_from([(b"[", b"]"), (b'{"a":', b"}")]))
+        nested = opening * depth + b"1" + closing * depth
+        data = encode(replaced(value, at, mark)).replace(
+            json.dumps(mark).encode(), nested
+        )
+    elif kind == "unknown" and isinstance(value, dict):
+        data = encode({**value, "novelty": draw(values)})
+    elif kind == "cut":
+        data = data[: draw(st.integers(0, len(data)))]
+    elif kind == "flip" and data:
+        position = draw(st.integers(0, len(data) - 1))
+        data = data[:position] + draw(st.binary(max_size=2)) + data[position + 1 :]
+    return draw(st.sampled_from([data, data, data, zlib.compress(data), data + b"x"]))
+
+
+class DecodersTest(unittest.TestCase):
+    def test_odd_value_raises_another_error_than_the_readers_handle(self) -> None:
+        for decoders, error_type in (
+            (CHECKED, BluebellshoreError),
+            (OWN_ROWS, msgspec.MsgspecError),
+        ):
+            for name, (decode, sound) in decoders.items():
+                with self.subTest(name):
+                    self._check(decode, sound, error_type)
+
+    def _check(self, decode, sound: object, error_type: type[Exception]) -> None:
+        @GENERATED
+        @given(damaged(sound))
+        def check(value: bytes) -> None:
+            try:
+                decode(value)
+            except error_type:
+                pass
+
+        check()
+
+    @GENERATED
+    @given(st.dictionaries(st.text(max_size=8), damaged(ServerTest.ENTRY), max_size=4))
+    def test_odd_rows_hide_the_sound_ones(self, odd: dict[str, bytes]) -> None:
+        state = PlatformState(2.0)
+        rows = [Row(f"servers/{name}", 2, value) for name, value in odd.items()]
+        rows += [Row("op/rollout/s", 3, value) for value in odd.values()]
+        sound = Row("servers/sound-1", 4, encode(ServerTest.ENTRY))
+        state.apply("servers", change(*rows, sound), 0.0)
+        state.apply("op", change(*rows, configuration_row(3, 5)), 0.0)
+        self.assertIn("sound-1", state.servers_by_id)
+        self.assertEqual(3, state.configuration.number)
+
+    @GENERATED
+    @given(st.binary(max_size=200), damaged({"choices": [{"delta": {"content": "x"}}]}))
+    def test_odd_event_of_an_engine_ends_its_stream(self, data: bytes, text: bytes):
+        parser = EventStreamParser(keep_text=True)
+        parser.feed(data)
+        parser.feed(b"data: " + text + b"\n\n")
+        add_completion_tokens(b"data: " + text + b"\n\n", 3)
+
+    @GENERATED
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(
+                    [
+                        "X-Attempt-Id",
+                        "X-Deadline-Ms",
+                        "X-Token-Usage",
+                        "X-Prompt-Prefix",
+                        "Last-Event-Id",
+                        "Connection",
+                        "Retry-After",
+                        "Server-Limit",
+                    ]
+                ),
+                st.one_of(
+                    st.text(max_size=30), st.from_regex(r"[0-9a-f:,.eE+-]{0,30}")
+                ),
+            ),
+            max_size=6,
+        )
+    )
+    def test_odd_head_raises_another_error_than_a_refusal(self, headers) -> None:
+        read_backpressure(503, dict(headers))
+        try:
+            head = RequestHead.decode(headers)
+        except BluebellshoreError:
+            return
+        self.assertGreaterEqual(head.prompt_tokens, 0)
+        self.assertGreaterEqual(head.max_output_tokens, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
