--- a/bluebellshore/platform/configuration.py
+++ b/bluebellshore/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decodes the operator's configuration row into the fleet's model."""
 
+from typing import Annotated
+
 import msgspec
 
 from bluebellshore.decoding import decode_json
@@ -24,6 +26,9 @@
 
 __all__ = ["decode_configuration"]
 
+#: Highest number that routers can tell each other.
+MAX_NUMBER = 2**63 - 1
+
 _KINDS_BY_WIRE_NAME = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -105,7 +110,7 @@
 
 class _Configuration(_Message):
     #: Number that grows with each new configuration.
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
     routes: list[_Route] = msgspec.field(default_factory=list)
     services: list[_Service] = msgspec.field(default_factory=list)
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -167,6 +167,8 @@
             "time": damaged(lambda fields: fields["routes"][0].update(timeoutMs=None)),
             "key": damaged(lambda fields: fields["tenants"][0].update(apiKeys=[5])),
             "nested": encode(make_configuration())[:-1] + b',"x":%b}' % DEEPLY_NESTED,
+            "64 bits": damaged(lambda fields: fields.update(version=2**64)),
+            "negative": damaged(lambda fields: fields.update(version=-1)),
         }
         for name, value in cases.items():
             with self.subTest(name), self.assertRaises(PlatformError) as caught:
@@ -229,11 +231,46 @@
         for name, value in {
             "nested": encode(self.ENTRY)[:-1] + b',"novelty":%b}' % DEEPLY_NESTED,
             "nested known field": encode(self.ENTRY).replace(b'"v3"', DEEPLY_NESTED),
+            "10^30 slots": encode({**self.ENTRY, "slots": 10**30}),
+            "many digits": encode(self.ENTRY).replace(b" 8", b" " + b"9" * 9999),
+            "port of many digits": encode(
+                {**self.ENTRY, "address": "10.9.4.2:" + "9" * 9999}
+            ),
+            "start after 64 bits": encode({**self.ENTRY, "born": 2**64}),
+            "start before 1970": encode({**self.ENTRY, "born": -1}),
+            "renewals after 64 bits": encode({**self.ENTRY, "seq": 2**64}),
+            "no time to warm up": encode({**self.ENTRY, "coldRemainingMs": 1e300}),
         }.items():
             with self.subTest(name), self.assertRaises(PlatformError) as caught:
                 decode_server("s-4", value)
             self.assertEqual("s-4", caught.exception.peer)
 
+    def test_entry_with_an_impossible_address_names_a_server(self):
+        for address in (
+            "10.9.4.2:0",
+            "10.9.4.2:-3",
+            "10.9.4.2:99999",
+            "10.9.4.2:9_000",
+            "10.9.4.2: 9000",
+            "10.9.4.2:\u0669",
+            "10.9.4.2\0:9000",
+            "10.9.4.2\r\nX-Tenant: north:9000",
+            "some host:9000",
+            "10.9.4.256:9000",
+            " :9000",
+        ):
+            with self.subTest(address), self.assertRaises(PlatformError):
+                self.decode(address=address)
+
+    def test_control_characters_in_an_entry_reach_requests(self):
+        for field in ("service", "zone", "version"):
+            for text in ("a\r\nX-Tenant: north", "a\n", "a\0b", "", "a" * 300):
+                with self.subTest(field, text=text), self.assertRaises(PlatformError):
+                    self.decode(**{field: text})
+        for server_id in ("", "s\r\n4", "s\0"):
+            with self.subTest(server_id), self.assertRaises(PlatformError):
+                decode_server(server_id, encode(self.ENTRY))
+
     def test_entry_cut_anywhere_names_no_server(self):
         value = encode(self.ENTRY)
         for end in range(len(value)):
@@ -254,6 +291,9 @@
         for name, value in {
             "nested": encode(fields)[:-1] + b',"new":%b}' % DEEPLY_NESTED,
             "nested known field": encode(fields).replace(b"45", DEEPLY_NESTED),
+            "no time": encode({**fields, "durationS": -1}),
+            "endless": encode({**fields, "durationS": 1e300}),
+            "no target": encode({**fields, "target": ""}),
         }.items():
             with self.subTest(name), self.assertRaises(PlatformError):
                 decode_rollout_order(value)
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -1,6 +1,7 @@
 """Generated input for every reader of what another process wrote."""
 
 import json
+import math
 import os
 import unittest
 import zlib
@@ -178,6 +179,18 @@
 
         check()
 
+    @GENERATED
+    @given(damaged(ServerTest.ENTRY))
+    def test_server_of_an_odd_entry_can_be_called(self, value: bytes) -> None:
+        try:
+            found = decode_server("s-1", value)
+        except BluebellshoreError:
+            return
+        self.assertTrue(0 < found.port < 65536)
+        self.assertTrue(0 < found.slots <= 100_000)
+        self.assertTrue(math.isfinite(found.warmup_seconds))
+        self.assertTrue(found.host.isprintable() and " " not in found.host)
+
     @GENERATED
     @given(st.dictionaries(st.text(max_size=8), damaged(ServerTest.ENTRY), max_size=4))
     def test_odd_rows_hide_the_sound_ones(self, odd: dict[str, bytes]) -> None:
