Run background loops of an entry router again after an unexpected error

Cause: the watch, the exchange with peers, the registry, admission, rollouts and the budgets' loops handle errors of the platform only. Any other exception ended the loop for good, and no line in the log said so. The class: a task that nobody waits for.

--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -22,6 +22,7 @@
 from bluebellshore.budget.predecessor import PredecessorRecovery
 from bluebellshore.budget.rows import BudgetRow, budget_key, decode_row
 from bluebellshore.decisions import DecisionLog
+from bluebellshore.entry.background import keep_running
 from bluebellshore.entry.budget_log import BudgetLog
 from bluebellshore.entry.loans import (
     Loan,
@@ -249,12 +250,15 @@
 
     async def open(self) -> None:
         """Start the background tasks without waiting for the store."""
-        loops = (
-            self._run_accountant(),
-            self._recover_predecessors(),
-            self._preallocate(),
-        )
-        self._tasks = [asyncio.create_task(loop) for loop in loops]
+        loops = {
+            "accountant": self._run_accountant,
+            "predecessors": self._recover_predecessors,
+            "preallocation": self._preallocate,
+        }
+        self._tasks = [
+            asyncio.create_task(keep_running(name, loop, self._budget_log.log))
+            for name, loop in loops.items()
+        ]
 
     async def reserve(
         self,
--- a/bluebellshore/entry/platform_state.py
+++ b/bluebellshore/entry/platform_state.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 
+import eliot
 import msgspec
 
 from bluebellshore.decisions import Belief, DecisionLog, silent_log
@@ -296,6 +297,10 @@
                 self._apply_server(row)
         except PlatformError as error:
             self._handle_unreadable_row(row, source, error.message)
+        except Exception as error:
+            # The rows after it hold, whatever this one's writer put into it.
+            eliot.write_traceback()
+            self._handle_unreadable_row(row, source, f"{type(error).__name__}: {error}")
 
     def _handle_unreadable_row(self, row: Row, source: str, reason: str) -> None:
         version = row.version
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -19,6 +19,7 @@
 )
 from bluebellshore.entry.admission import Admission
 from bluebellshore.entry.attempt_log import AttemptLog
+from bluebellshore.entry.background import keep_running
 from bluebellshore.entry.budgets import CustomerBudgets
 from bluebellshore.entry.crash_log import CrashLog
 from bluebellshore.entry.dispatch import Dispatcher
@@ -219,15 +220,18 @@
         self.address = await self._ingress.start(settings.listen)
         await self._budgets.open()
         self._platform_state.on_configuration = self._apply_configuration
-        loops = (
-            self._watch.run(),
-            self._peers.run(),
-            self._router_registry.run(),
-            self._admission.run(),
-            self._rollouts.run(),
-            self._check_servers(),
-        )
-        self._tasks = [asyncio.create_task(loop) for loop in loops]
+        loops = {
+            "watch": self._watch.run,
+            "peers": self._peers.run,
+            "registry": self._router_registry.run,
+            "admission": self._admission.run,
+            "rollouts": self._rollouts.run,
+            "servers": self._check_servers,
+        }
+        self._tasks = [
+            asyncio.create_task(keep_running(name, loop, self._log))
+            for name, loop in loops.items()
+        ]
 
     async def stop(self) -> None:
         """Stop serving, with time for requests in flight to end.
--- /dev/null
+++ b/tests/test_entry_background.py
@@ -0,0 +1,70 @@
+"""Tests that an entry router goes on to follow the store and its peers after errors."""
+
+import asyncio
+import json
+import unittest
+from unittest import mock
+
+from bluebellshore.decisions import silent_log
+from bluebellshore.entry import background
+from bluebellshore.load.fleet import wait_until
+from bluebellshore.standin.operator import StandinRoute
+from tests.entry_system import ROUTES, EntryTestCase
+from tests.test_platform_decoding import DEEPLY_NESTED, ServerTest
+
+NEW_ROUTE = StandinRoute("/new/", "safe", "plain")
+
+
+class BackgroundTest(unittest.IsolatedAsyncioTestCase):
+    async def test_loop_that_fails_ends_for_good(self):
+        self.enterContext(mock.patch.object(background, "RESTART_SECONDS", 0))
+        runs = []
+
+        async def loop():
+            runs.append(len(runs))
+            if len(runs) < 3:
+                raise ExceptionGroup("in a task", [KeyError("odd")])
+
+        await background.keep_running("watch", loop, silent_log())
+        self.assertEqual([0, 1, 2], runs)
+
+    async def test_cancelled_loop_runs_again(self):
+        started = asyncio.Event()
+
+        async def loop():
+            started.set()
+            await asyncio.Event().wait()
+
+        task = asyncio.create_task(background.keep_running("watch", loop, silent_log()))
+        await started.wait()
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+
+
+class OddEntryTest(EntryTestCase):
+    async def assert_followed_after(self, key: str, value: bytes):
+        instance = await self.start_system()
+        self.store.state.write_as_operator("servers", key, value)
+        await self.wait_until_synced(instance)
+        self.configure(2, (*ROUTES, NEW_ROUTE))
+        await self.add_runner("plain-c", "plain")
+
+        async def followed():
+            status, _, _ = await self.call(instance, "/new/a")
+            servers = instance.router.snapshot()["servers"]
+            return status == 200 and "plain-c" in servers and key not in servers
+
+        await wait_until(followed, "the changes after the odd entry")
+
+    async def test_nested_entry_stops_a_router_from_following_the_store(self):
+        value = json.dumps(ServerTest.ENTRY).encode()[:-1]
+        await self.assert_followed_after("odd", value + b',"x":%b}' % DEEPLY_NESTED)
+
+    async def test_entry_with_a_number_too_large_stops_it(self):
+        value = json.dumps({**ServerTest.ENTRY, "born": 10**400}).encode()
+        await self.assert_followed_after("odd", value)
+
+
+if __name__ == "__main__":
+    unittest.main()
