Take blamed prompt parts of crashes before the start of the clock

Saw: generated messages of peers raised KeyError in the merge of blamed parts. Cause: a part without an answer was looked up as if answered at 0 of the monotonic clock, which is later than a crash that happened before the machine got power. Change: an unanswered part is older than any crash. Measured: test_blame_from_before_the_start_of_the_clock_ends_the_exchange failed with KeyError before, passes.

--- a/bluebellshore/routing/suspected_parts.py
+++ b/bluebellshore/routing/suspected_parts.py
@@ -8,6 +8,7 @@
 that came only together are blamed together: only requests with all of them are refused.
 """
 
+import math
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
 
@@ -201,7 +202,7 @@
             answered = {
                 part: self._answered_at_by_part[part]
                 for part in blame.parts
-                if self._answered_at_by_part.get(part, 0.0) > blame.crashed_at
+                if self._answered_at_by_part.get(part, -math.inf) > blame.crashed_at
             }
             self._to_report.update(answered)
             parts = set(blame.parts) - answered.keys()
--- a/tests/test_routing_suspected_parts.py
+++ b/tests/test_routing_suspected_parts.py
@@ -10,6 +10,7 @@
     MAX_REQUESTS,
     PROBE_INTERVAL_SECONDS,
     AnsweredPart,
+    BlamedParts,
     SuspectedParts,
 )
 
@@ -125,6 +126,12 @@
         self.assertFalse(peer.is_refused(("p",), 3.0))
         self.assertEqual(peer.take_answers(), [AnsweredPart("p", 2.5)])
 
+    def test_blame_from_before_the_start_of_the_clock_ends_the_exchange(self):
+        # A machine that was without power hears of crashes before its start.
+        blamed = BlamedParts(("bad",), -5.0, PROBE_INTERVAL_SECONDS)
+        self.parts.merge_blames([blamed], now=1.0)
+        self.assertTrue(self.refused("bad", now=1.0))
+
     def test_evidence_that_comes_after_a_later_answer_is_void(self):
         self.answer("p", now=3.0)
         for number in (1, 2, 3, 4):
