Leave out what no sound peer can mean

Saw: generated messages of peers raised IndexError and OverflowError in the judge of rollouts, which then judged nothing any more; times that are no number were kept. Cause: latency buckets, ages, rates, shares and counts of peers were taken as sent. A build with more buckets would do it, too. Change: entries with such values are left out where messages are read.

--- a/bluebellshore/entry/crash_messages.py
+++ b/bluebellshore/entry/crash_messages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from bluebellshore.entry.message_values import is_duration
 from bluebellshore.ids import BackendServerId, ScopedPart
 from bluebellshore.routing.crash_tracker import CrashReport
 from bluebellshore.routing.suspected_parts import AnsweredPart, BlamedParts
@@ -37,6 +38,8 @@
     """Yield the reports of a message."""
     for messages, confirmed in ((state.broken, False), (state.crashes, True)):
         for message in messages:
+            if not is_duration(message.age_seconds):
+                continue
             parts_by_fingerprint = {
                 request.fingerprint: tuple(ScopedPart(part) for part in request.parts)
                 for request in message.requests
@@ -62,7 +65,8 @@
 def read_answered_parts(state: pb.PeerState, now: float) -> Iterator[AnsweredPart]:
     """Yield the answered parts of a message."""
     for message in state.answered:
-        yield AnsweredPart(ScopedPart(message.part), now - message.age_seconds)
+        if is_duration(message.age_seconds):
+            yield AnsweredPart(ScopedPart(message.part), now - message.age_seconds)
 
 
 def write_blames(
@@ -80,8 +84,9 @@
 def read_blames(state: pb.PeerState, now: float) -> Iterator[BlamedParts]:
     """Yield the blamed parts of a message."""
     for message in state.blamed:
-        yield BlamedParts(
-            tuple(ScopedPart(part) for part in message.parts),
-            now - message.age_seconds,
-            message.interval_seconds,
-        )
+        if is_duration(message.age_seconds) and is_duration(message.interval_seconds):
+            yield BlamedParts(
+                tuple(ScopedPart(part) for part in message.parts),
+                now - message.age_seconds,
+                message.interval_seconds,
+            )
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -24,6 +24,7 @@
     write_crashes,
 )
 from bluebellshore.entry.loans import Loan, LoanServer
+from bluebellshore.entry.message_values import is_count
 from bluebellshore.entry.peer_selection import (
     EXCHANGE_INTERVAL_SECONDS,
     MAX_PEERS_PER_ROUND,
@@ -520,6 +521,7 @@
                 counts.good, counts.bad, counts.lost
             )
             for counts in state.results
+            if all(map(is_count, (counts.good, counts.bad, counts.lost)))
         },
     )
 
--- a/bluebellshore/entry/rollout_messages.py
+++ b/bluebellshore/entry/rollout_messages.py
@@ -1,10 +1,12 @@
 """Converts rollout reports to and from the messages that routers exchange."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
+from bluebellshore.entry.message_values import is_duration
 from bluebellshore.ids import BackendServerId, RouteName
 from bluebellshore.rollouts import AttemptCounts, CountsKey, RolloutReport, RolloutState
+from bluebellshore.rollouts.evidence import LAST_BUCKET
 from bluebellshore.wire import peer_pb2 as pb
 
 __all__ = ["read_reports", "write_reports"]
@@ -60,12 +62,18 @@
             counts_by_key=dict(_counts(item) for item in message.evidence),
         )
         for message in state.rollouts
+        if is_duration(message.age_seconds) and 0.0 <= message.share <= 1.0
     ]
 
 
 def _counts(item: pb.PeerEvidence) -> tuple[CountsKey, AttemptCounts]:
     key = CountsKey(RouteName(item.route), BackendServerId(item.server), item.target)
     counts = AttemptCounts(
-        item.sent, item.ended, item.failed, Counter(item.first), Counter(item.gap)
+        item.sent, item.ended, item.failed, _known(item.first), _known(item.gap)
     )
     return key, counts
+
+
+def _known(count_by_bucket: Mapping[int, int]) -> Counter[int]:
+    """Return the counts of the latency buckets that this build knows."""
+    return Counter({b: n for b, n in count_by_bucket.items() if b <= LAST_BUCKET})
--- a/bluebellshore/entry/statement_messages.py
+++ b/bluebellshore/entry/statement_messages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from bluebellshore.entry.message_values import is_count, is_duration
 from bluebellshore.ids import BackendServerId
 from bluebellshore.routing.backpressure import ServerStatement
 from bluebellshore.wire import peer_pb2 as pb
@@ -21,7 +22,7 @@
             server=stated.server_id,
             started_unix_ms=stated.started_unix_ms,
             per_second=stated.requests_per_second,
-            age_seconds=now - stated.stated_at,
+            age_seconds=max(0.0, now - stated.stated_at),
             leaving=stated.leaving,
         )
 
@@ -36,8 +37,9 @@
             BackendServerId(stated.server),
             stated.started_unix_ms,
             stated.per_second if stated.HasField("per_second") else None,
-            now - max(0.0, stated.age_seconds),
+            now - stated.age_seconds,
             stated.leaving,
         )
         for stated in state.statements
+        if is_duration(stated.age_seconds) and is_count(stated.per_second)
     ]
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -15,18 +15,27 @@
 from bluebellshore.bundle.rows import decode_row as decode_bundle_row
 from bluebellshore.bundle.signing import decode_payload
 from bluebellshore.duties.jobs import decode_job
+from bluebellshore.entry.peers import PeerExchange
 from bluebellshore.entry.platform_state import PlatformState
+from bluebellshore.entry.rollouts import RolloutController
 from bluebellshore.errors import BluebellshoreError
 from bluebellshore.events import EventStreamParser, add_completion_tokens
+from bluebellshore.ids import IncarnationId, InstanceId
 from bluebellshore.moves.rows import decode_row as decode_move
 from bluebellshore.platform.configuration import decode_configuration
 from bluebellshore.platform.requests import RequestHead, read_backpressure
 from bluebellshore.platform.rollouts import decode_record
 from bluebellshore.platform.servers import decode_rollout_order, decode_server
 from bluebellshore.platform.settings import parse_settings_file
+from bluebellshore.rollouts import ExposureLimit
 from bluebellshore.router.calls import parse_chat_request
-from bluebellshore.store import Row
-from tests.test_entry_platform_state import change, configuration_row
+from bluebellshore.routing.backpressure import BackpressureTracker
+from bluebellshore.routing.crash_tracker import CrashTracker
+from bluebellshore.routing.load import LoadTracker
+from bluebellshore.store import MemoryTable, Row
+from bluebellshore.wire import peer_pb2 as pb
+from tests.entry_fixtures import call, route, server
+from tests.test_entry_platform_state import change, configuration_row, order_row
 from tests.test_platform_decoding import ServerTest, encode, make_configuration
 
 #: Number of examples of each test with fresh seeds, for runs by hand.
@@ -244,5 +253,129 @@
         self.assertGreaterEqual(head.max_output_tokens, 0)
 
 
+floats = st.one_of(st.floats(), st.sampled_from([math.nan, math.inf, -math.inf, 1e300]))
+names = st.sampled_from(["s", "s-1", "other", "", "\0", "a\r\nb"])
+small = st.integers(0, 2**32 - 1)
+large = st.integers(0, 2**64 - 1)
+
+
+@st.composite
+def peer_states(draw) -> pb.PeerState:
+    """Draw a message that no sound router sends."""
+    state = pb.PeerState(
+        instance_id=draw(names),
+        incarnation=draw(names),
+        address=draw(st.sampled_from(["", "10.0.0.9:1", "\0", "nowhere"])),
+        peers=draw(st.lists(names, max_size=2)),
+        leaving=draw(st.booleans()),
+        store_lost=draw(st.booleans()),
+        configuration=draw(large),
+    )
+    state.versions.add(
+        table=draw(names), version=draw(st.integers(-(2**63), 2**63 - 1))
+    )
+    state.loads.add(
+        server=draw(names),
+        running=draw(small),
+        prefill_tokens=draw(large),
+        held_tokens=draw(large),
+    )
+    state.parts.add(
+        server=draw(names), parts=draw(st.lists(names)), tokens=[draw(small)]
+    )
+    state.results.add(
+        server=draw(names), good=draw(floats), bad=draw(floats), lost=draw(floats)
+    )
+    for crashes in (state.crashes, state.broken):
+        crash = crashes.add(
+            server=draw(names), fingerprints=[draw(names)], age_seconds=draw(floats)
+        )
+        crash.requests.add(fingerprint=draw(names), parts=draw(st.lists(names)))
+    state.answered.add(part=draw(names), age_seconds=draw(floats))
+    state.blamed.add(
+        parts=draw(st.lists(names)),
+        age_seconds=draw(floats),
+        interval_seconds=draw(floats),
+    )
+    state.statements.add(
+        server=draw(names),
+        started_unix_ms=draw(large),
+        per_second=draw(floats),
+        age_seconds=draw(floats),
+        leaving=draw(st.booleans()),
+    )
+    rollout = state.rollouts.add(
+        service="s",
+        order=draw(st.sampled_from([4, 5, 2**64 - 1])),
+        age_seconds=draw(floats),
+        share=draw(floats),
+        running=draw(small),
+        progress=draw(st.sampled_from([0, 1, 2, 7])),
+        bad=draw(st.sampled_from(["", "bad"])),
+        exposed=draw(large),
+        requests=draw(large),
+    )
+    rollout.evidence.add(
+        route=draw(names),
+        server=draw(names),
+        target=draw(st.booleans()),
+        sent=draw(small),
+        ended=draw(small),
+        failed=draw(small),
+        first={draw(small): draw(small)},
+        gap={draw(small): draw(small)},
+    )
+    return state
+
+
+class PeerMessagesTest(unittest.IsolatedAsyncioTestCase):
+    """Merges generated messages of peers, then serves as before."""
+
+    def exchange(self) -> tuple[PeerExchange, LoadTracker, RolloutController]:
+        state = PlatformState(2.0)
+        state.apply("op", change(configuration_row(3, 5), order_row("v2", 4)), 0.0)
+        loads = LoadTracker()
+        exchange = PeerExchange(
+            address="10.0.0.1:1",
+            seeds=(),
+            instance_id=InstanceId("r"),
+            incarnation=IncarnationId("r.1"),
+            platform_state=state,
+            loads=loads,
+            crashes=CrashTracker(),
+            store_lost=lambda: True,
+            backpressure=BackpressureTracker(),
+        )
+        exchange.rollouts = RolloutController(
+            state,
+            MemoryTable(),
+            IncarnationId("r.1"),
+            ExposureLimit(0.1, 10),
+            peers=exchange.serving,
+            store_lost=lambda: False,
+            store_seconds=lambda: None,
+        )
+        return exchange, loads, exchange.rollouts
+
+    async def test_odd_message_of_a_peer_ends_the_exchange(self) -> None:
+        @GENERATED
+        @given(st.lists(peer_states(), min_size=1, max_size=3))
+        def check(messages: list[pb.PeerState]) -> None:
+            exchange, loads, rollouts = self.exchange()
+            for message in messages:
+                exchange._merge_state(message)
+            rollouts.tick()
+            request = call(route())
+            rollouts.candidates(request, [server("s-1", service="s")], 1.0)
+            ticket = loads.begin(request, server("s-1"), 1.0)
+            loads.load_of("s-1", 1.0)
+            loads.snapshot_of("s-1", 1.0)
+            loads.abandon(ticket, 2.0)
+            exchange._collect_updates()
+            exchange._state_for(None).SerializeToString()
+
+        check()
+
+
 if __name__ == "__main__":
     unittest.main()
