Bound what a compressed row may grow to

Cause: a row of 64 KiB may hold 64 MiB of compressed content; a router has 150 MB. Change: 4 MiB at most, and a cut value is malformed. Measured: test_compressed_row_that_is_cut_or_grows_without_bound_is_refused passes.

--- a/bluebellshore/budget/rows.py
+++ b/bluebellshore/budget/rows.py
@@ -51,6 +51,8 @@
 MIN_COMPRESSED_BYTES = 512
 #: Fastest level of zlib. Higher levels make such rows hardly smaller.
 COMPRESSION_LEVEL = 1
+#: Longest content of a compressed value.
+MAX_DECOMPRESSED_BYTES = 4 * 1024 * 1024
 #: First byte of each compressed value. No JSON text begins with it.
 COMPRESSED_FIRST_BYTE = b"x"
 
@@ -252,10 +254,14 @@
     """
     if not value.startswith(COMPRESSED_FIRST_BYTE):
         return value
+    decompressor = zlib.decompressobj()
     try:
-        return zlib.decompress(value)
+        content = decompressor.decompress(value, MAX_DECOMPRESSED_BYTES)
     except zlib.error as error:
         raise msgspec.DecodeError(str(error)) from error
+    if not decompressor.eof:
+        raise msgspec.DecodeError(f"cut or above {MAX_DECOMPRESSED_BYTES} bytes")
+    return content
 
 
 def decode_row(row: Row | None, row_type: type[RowT]) -> RowT | None:
--- a/tests/test_budget_rows.py
+++ b/tests/test_budget_rows.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import zlib
 
 import msgspec
 
@@ -54,6 +55,12 @@
         row = Row("budget/acme", 1, encode_uncompressed(value))
         self.assertEqual(decode_row(row, BudgetRow), value)
 
+    def test_compressed_row_that_is_cut_or_grows_without_bound_is_refused(self):
+        whole = encode_row(fleet_row(1))
+        for value in (whole[:-9], zlib.compress(b" " * 2**27 + b"{}")):
+            with self.assertRaises(msgspec.DecodeError):
+                decode_row(Row("budget/acme", 1, value), BudgetRow)
+
     def test_operators_see_a_compressed_row(self):
         value = fleet_row(1)
         view = budget_view("acme", 10**9, encode_row(value))
