Take no answer without an attempt id for that of a later request

The caller got an error that wasn't its own, and the answer that followed was dropped. Cause: only refusals and statuses below 400 were checked for whose they are. Change: on a connection that carried another request, no answer without an id is taken. An earlier refusal with its id is skipped as before, which now has a test. Measured: test_earlier_answer_without_id_passes_for_that_of_a_later_request failed on both loops, passes.

--- a/bluebellshore/backend/answer_reader.py
+++ b/bluebellshore/backend/answer_reader.py
@@ -49,7 +49,7 @@
     """Parses answers until the one to a given attempt is complete.
 
     Interim (1xx) answers and answers to other attempts are dropped. An answer without
-    an attempt id is returned like the attempt's own; the caller checks its head.
+    an attempt id ends the reading: :class:`DirectBackend` checks whose it can be.
 
     :param attempt_header: name of the header with the attempt id.
     :param has_body: False if the answer has no body whatever its head says, as for
--- a/bluebellshore/backend/direct.py
+++ b/bluebellshore/backend/direct.py
@@ -212,7 +212,7 @@
                 await self._read_refusal(connection)
             else:
                 reason = "a refusal of an unknown request"
-        elif not has_attempt_id and status < 400:
+        elif not has_attempt_id and (status < 400 or not connection.is_first_request):
             reason = "an answer to an unknown request"
         elif status < 300 and (
             self._headers.signature not in headers or "Content-Encoding" in headers
--- a/tests/test_backend_direct.py
+++ b/tests/test_backend_direct.py
@@ -234,6 +234,43 @@
             self.assertEqual(len(server.peers), 1)
         self.assertIs(caught.exception.outcome, AttemptOutcome.UNKNOWN)
 
+    async def fetch_after_an_answer(self, data: bytes):
+        """Fetch a1 on a connection that carried a0; the server answers with `data`."""
+
+        async def script(peer: Peer):
+            await peer.head()
+            await peer.send(answer("a0", b"ok"))
+            await peer.head()
+            await peer.send(data)
+            await peer.wait_for_end()
+
+        async with scripted_server(script) as server:
+            await self.fetch(server, request("a0"))
+            try:
+                return await self.fetch(server, request("a1"))
+            finally:
+                self.assertEqual(len(server.peers), 1)
+
+    async def test_earlier_answer_without_id_passes_for_that_of_a_later_request(self):
+        for status in (200, 400, 404, 500, 502, 503):
+            for headers in ((), (f"{NOT_RUN}: 1",)):
+                data = answer(None, b"earlier", status=status, headers=headers)
+                data += answer("a1", b"ours")
+                with (
+                    self.subTest(status, headers=headers),
+                    self.assertRaises(AttemptError) as caught,
+                ):
+                    await self.fetch_after_an_answer(data)
+                self.assertIs(caught.exception.outcome, AttemptOutcome.UNKNOWN)
+
+    async def test_earlier_refusal_written_again_passes_for_that_of_a_later_request(
+        self,
+    ):
+        for status in (421, 429, 503):
+            refusal = answer("a0", b"x", status=status, headers=(f"{NOT_RUN}: 1",))
+            found = await self.fetch_after_an_answer(refusal + answer("a1", b"ours"))
+            self.assertEqual((200, b"ours"), found)
+
     async def test_unsigned_or_recoded_answer_is_refused(self):
         for data in (
             answer("a1", b"x", signed=False),
