Pass no refusal on that doesn't say that the request has not run

Cause: only the header was read as a refusal; the status was passed on like any other. Change: such an answer counts as an attempt that may have run: 502, or a repeat where the route allows it. What it asks of its senders is read as before.

--- a/bluebellshore/backend/direct.py
+++ b/bluebellshore/backend/direct.py
@@ -30,6 +30,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 #: Longest time to read the body of a refusal, so that its connection can be reused.
 REFUSAL_BODY_TIMEOUT_SECONDS = 0.1
+#: Statuses with which a caller is told that its request never runs.
+REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
+UNCLEAR_REFUSAL = "a refusal that doesn't say whether the request ran"
 #: Status 421, sent by a server that is not the one expected (RFC 9110, 15.5.20).
 MISDIRECTED_STATUS = 421
 
@@ -214,11 +217,13 @@
                 reason = "a refusal of an unknown request"
         elif not has_attempt_id and (status < 400 or not connection.is_first_request):
             reason = "an answer to an unknown request"
+        elif status in REFUSAL_STATUSES:
+            reason = UNCLEAR_REFUSAL
         elif status < 300 and (
             self._headers.signature not in headers or "Content-Encoding" in headers
         ):
             reason = "not the backend server's answer"
-        if not reason or outcome is AttemptOutcome.NOT_RUN:
+        if reason in ("", UNCLEAR_REFUSAL) or outcome is AttemptOutcome.NOT_RUN:
             backpressure = self._read_backpressure(status, headers)
             self._on_backpressure(server, backpressure, sent_at)
         if reason:
