Cut a stream that goes on with text that is no event

Cause: events were split by blank lines, and nothing checked what stands between them. Change: a line must be a field or a comment, and in a stream whose events have ids each event has one; the stream breaks off there, or goes on at another server.

--- a/bluebellshore/entry/events.py
+++ b/bluebellshore/entry/events.py
@@ -12,6 +12,7 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 _FIELD_LINE = re.compile(rb"^[^:\r\n]", re.MULTILINE)
+_MALFORMED_LINE = re.compile(rb"^(?![\w-]*(:|\r?$))", re.MULTILINE | re.ASCII)
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -20,11 +21,14 @@
     :param data: bytes of the event with the blank line that ends it.
     :param number: the event's id; None when there is none or it is not a number.
     :param has_fields: whether it has other lines than comments and blank ones.
+    :param malformed: whether some line is neither a field nor a comment, as in the head
+        of an answer or in the text of an error.
     """
 
     data: bytes
     number: int | None
     has_fields: bool = True
+    malformed: bool = False
 
 
 class EventSplitter:
@@ -61,4 +65,5 @@
 def _parse_event(data: bytes) -> Event:
     match = _ID_LINE.search(data)
     number = int(match[1]) if match else None
-    return Event(data, number, _FIELD_LINE.search(data) is not None)
+    has_fields = _FIELD_LINE.search(data) is not None
+    return Event(data, number, has_fields, _MALFORMED_LINE.search(data) is not None)
--- a/bluebellshore/entry/relay.py
+++ b/bluebellshore/entry/relay.py
@@ -1,6 +1,7 @@
 """Relays answers of backend servers to callers: plain ones and event streams."""
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
@@ -101,6 +102,7 @@
         self._call = call
         self._sink = sink
         self._last_number: int | None = None
+        self._is_numbered = False
         self.began = False
         self.complete = False
         self.events = 0
@@ -125,8 +127,8 @@
         :param on_event: called with the number of events that were received together.
         :param first_event_seconds: longest wait for the first event.
         :raises AttemptError: the stream broke off, exceeded its idle timeout, ended
-            within an event or, with its connection, before any, or has an event that
-            is too long.
+            within an event or, with its connection, before any, has an event that is
+            too long, or goes on with other text.
         """
         loop = asyncio.get_running_loop()
         splitter = EventSplitter()
@@ -187,11 +189,23 @@
         return seconds * RESUME_TIMEOUT_SHARE if route.resumable else seconds
 
     async def _pass_events_on(self, answer: Answer, events: list[Event]) -> None:
-        new = [event.data for event in events if self._count_new(event)]
-        if not new:
-            return
-        await self._start(answer)
-        await self._sink.write(b"".join(new))
+        """Pass on the events before the first one that is none.
+
+        :raises AttemptError: there is such a one.
+        """
+        sound = list(itertools.takewhile(self._is_sound, events))
+        new = [event.data for event in sound if self._count_new(event)]
+        if new:
+            await self._start(answer)
+            await self._sink.write(b"".join(new))
+        if len(sound) < len(events):
+            raise _stream_error("the stream goes on with what is not an event")
+
+    def _is_sound(self, event: Event) -> bool:
+        if event.has_fields and event.number is None and self._is_numbered:
+            return False
+        self._is_numbered = self._is_numbered or event.number is not None
+        return not event.malformed
 
     def _count_new(self, event: Event) -> bool:
         """Count an event unless it was passed on before; comments don't count.
--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -115,3 +115,31 @@
         async with self.get() as response:
             body = await response.read()
         self.assertEqual(body, b"".join(EVENT % number for number in (1, 2, 3, 4)))
+
+    async def assert_cut_after(self, next_answer: FakeAnswer) -> None:
+        """Break a stream off, and expect nothing of the next answer to reach it."""
+        self.add_servers("a", "b")
+        broken = FakeAnswer([EVENT % 1, attempt_error(AttemptOutcome.UNKNOWN)])
+        self.backend.answers = [broken, next_answer]
+        body = bytearray()
+        with self.assertRaises(aiohttp.ClientError):
+            async with self.get() as response:
+                async for data in response.content.iter_any():
+                    body += data
+        self.assertEqual(EVENT % 1, bytes(body))
+        self.assertEqual([], self.backend.answers)
+
+    async def test_error_of_the_next_server_is_joined_to_a_stream(self) -> None:
+        for status in (400, 404, 500, 502):
+            with self.subTest(status):
+                error = FakeAnswer([b"internal error\n\n"], status, "text/plain")
+                await self.assert_cut_after(error)
+
+    async def test_text_of_the_next_server_is_joined_to_a_stream(self) -> None:
+        for content_type in ("text/plain", "application/json", ""):
+            for chunks in ([b"internal error\n\n"], [EVENT % 2], []):
+                with self.subTest(content_type, chunks=chunks):
+                    await self.assert_cut_after(FakeAnswer(chunks, 200, content_type))
+
+    async def test_empty_answer_ends_a_stream_as_if_it_were_complete(self) -> None:
+        await self.assert_cut_after(FakeAnswer([], 204, ""))
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -24,6 +24,9 @@
     status = 200
     headers = []
 
+    def header(self, name):
+        return {"Content-Type": "text/event-stream"}.get(name, "")
+
     def __init__(self, pieces, ends_with_connection=False):
         self._pieces = pieces
         self.ends_with_connection = ends_with_connection
@@ -153,6 +156,34 @@
                 self.assertFalse(sink.finished)
                 self.assertEqual(sink.body, event(1))
 
+    def test_head_of_an_error_reaches_the_caller_in_the_middle_of_a_stream(self):
+        head = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\n"
+        for text in (
+            head,
+            head + b"oops\n\n",
+            b"internal error\n\n",
+            b'{"error": "gone"}\n\n',
+            b"data: an event without an id\n\n",
+        ):
+            pieces = [(0.1, event(1)), (0.1, event(2) + text + event(3))]
+            with self.subTest(text):
+                sink, error, _, _ = self.relay(pieces)
+                self.assertIn("not an event", str(error))
+                self.assertEqual(event(1) + event(2), sink.body)
+                self.assertFalse(sink.finished)
+
+    def test_events_without_ids_pass_as_long_as_none_has_one(self):
+        pieces = [(0.1, b"data: a\n\n"), (0.1, b"event: end\nretry: 5\ndata\n\n")]
+        sink, error, _, _ = self.relay(pieces)
+        self.assertIsNone(error)
+        self.assertEqual(b"".join(data for _, data in pieces), sink.body)
+
+    def test_event_with_the_version_of_its_weights_is_sound(self):
+        changed = b"x-weight-versions: 7\n" + event(2)
+        sink, error, _, _ = self.relay([(0.1, event(1)), (0.1, changed)])
+        self.assertIsNone(error)
+        self.assertEqual(event(1) + changed, sink.body)
+
     # The closed connection of a crashed server passed for an empty stream.
     def test_connection_that_ends_before_any_event_is_broken_off(self):
         sink, error, _, _ = self.relay([], ends_with_connection=True)
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -45,10 +45,15 @@
 
     ends_with_connection = False
 
-    def __init__(self, chunks, status=200):
+    def __init__(self, chunks, status=200, content_type="text/event-stream"):
         self.status = status
         self.headers = []
         self._chunks = chunks
+        self._content_type = content_type
+
+    def header(self, name):
+        """Return the value of a header."""
+        return self._content_type if name == "Content-Type" else ""
 
     async def chunks(self):
         for chunk in self._chunks:
