Join no other answer to a stream that has begun

The text reached the caller in the middle of the stream, and an empty answer ended it as if it were complete. Cause: any 2xx counted as the rest of a stream. Change: the rest comes with status 200 as an event stream, or the attempt has failed.

--- a/bluebellshore/entry/relay.py
+++ b/bluebellshore/entry/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import AsyncIterator, Callable
+from http import HTTPStatus
 from typing import Protocol
 
 from bluebellshore.backend import Answer, AttemptError, AttemptOutcome
@@ -126,10 +127,13 @@
 
         :param on_event: called with the number of events that were received together.
         :param first_event_seconds: longest wait for the first event.
-        :raises AttemptError: the stream broke off, exceeded its idle timeout, ended
-            within an event or, with its connection, before any, has an event that is
-            too long, or goes on with other text.
+        :raises AttemptError: the answer is no stream and can't go on with one; or the
+            stream broke off, exceeded its idle timeout, ended within an event or, with
+            its connection, before any, has an event that is too long, or goes on with
+            other text.
         """
+        if self.began and not _is_event_stream(answer):
+            raise _stream_error("an answer that is no stream, for the rest of one")
         loop = asyncio.get_running_loop()
         splitter = EventSplitter()
         chunks = aiter(answer.chunks())
@@ -234,6 +238,11 @@
         raise _stream_error(str(error)) from error
 
 
+def _is_event_stream(answer: Answer) -> bool:
+    media_type = answer.header("Content-Type").partition(";")[0].strip().lower()
+    return answer.status == HTTPStatus.OK and media_type == EVENT_STREAM_TYPE
+
+
 def _stream_error(reason: str, *, reset: bool = False) -> AttemptError:
     return AttemptError(
         reason, step=STEP, peer="", outcome=AttemptOutcome.UNKNOWN, reset=reset
