Count what killed routers drew in the span that a restored store lost

Cause: routers that are killed in the lost span, or while the store is away, can't repeat what they drew and spent since the copy. Change: each router knows how many tokens of a budget were used in all when it read the row last, within 3 s of the restore. Once those that live have repeated their changes, it compares, and what is missing counts as spent; any number of routers may do so, and the row keeps the most (budget/recount.py). A router that starts draws nothing from a row that was not compared since the restore, for 5 s at most.

--- a/bluebellshore/budget/committer.py
+++ b/bluebellshore/budget/committer.py
@@ -48,6 +48,9 @@
 #: Time after a restore of the store in which nothing is drawn, so that the other
 #: incarnations can repeat what they had drawn and settled.
 RESTORE_HOLD_SECONDS = 3.0
+#: Time after the start in which nothing is drawn from budgets whose rows were not
+#: compared since the last restore. Those that know more do it before.
+NEWCOMER_HOLD_SECONDS = 5.0
 
 
 class CommitResult(Enum):
@@ -148,6 +151,9 @@
         if self._known_era is not None and era > self._known_era:
             self._restored = True
             self._builder.holds_draws_until = now + RESTORE_HOLD_SECONDS
+            self._builder.begin_era(era, now, RESTORE_HOLD_SECONDS)
+        elif self._builder.era is None:
+            self._builder.begin_era(era, now, NEWCOMER_HOLD_SECONDS)
         self._known_era = era
 
     async def commit(
--- /dev/null
+++ b/bluebellshore/budget/recount.py
@@ -0,0 +1,81 @@
+"""Finds tokens that were drawn in a span which a restored store has lost.
+
+Handles routers that are killed around a restore. What they drew after the copy is in
+no row, and they can't repeat it. But each router reads the rows of its budgets every
+second or so, and knows how many tokens were used in all when it last did.
+"""
+
+import math
+
+import msgspec
+
+from bluebellshore.budget.rows import BudgetRow
+from bluebellshore.ids import BudgetId, Tokens
+from bluebellshore.store.interface import ABSENT, era_of
+
+__all__ = ["Recount"]
+
+#: Age of a read from which on it no longer counts. Others may have returned tokens
+#: since then, which are no missing ones.
+MAX_READ_AGE_SECONDS = 3.0
+
+
+class _Use(msgspec.Struct, frozen=True):
+    """Tokens used of a budget, as read.
+
+    :param at: monotonic seconds of the read.
+    """
+
+    tokens: Tokens
+    at: float
+
+
+class Recount:
+    """What one incarnation knows of the use of budgets before the store's present era.
+
+    :ivar era: present era; None until it is known.
+    """
+
+    def __init__(self) -> None:
+        self.era: int | None = None
+        self._compares_from = -math.inf
+        self._use_by_budget: dict[BudgetId, _Use] = {}
+        self._use_before_by_budget: dict[BudgetId, _Use] = {}
+
+    def begin_era(self, era: int, now: float, hold_seconds: float) -> None:
+        """Keep what was read last as what the rows are compared with.
+
+        :param now: monotonic seconds.
+        :param hold_seconds: time in which the incarnations that live repeat their
+            changes.
+        """
+        self.era = era
+        self._compares_from = now + hold_seconds
+        for budget, use in self._use_by_budget.items():
+            before = self._use_before_by_budget.get(budget)
+            recent = now - use.at <= MAX_READ_AGE_SECONDS
+            if recent and (before is None or before.tokens < use.tokens):
+                self._use_before_by_budget[budget] = use
+        self._use_by_budget = {}
+
+    def compare(
+        self, budget: BudgetId, row: BudgetRow, version: int, now: float
+    ) -> None:
+        """Note the use of a budget, and add to its row what the restore has lost.
+
+        :param row: the row as read in this era or an earlier one; changed in place.
+        :param version: its version; 0 if it is absent.
+        :param now: monotonic seconds.
+        """
+        era = self.era or 0
+        if version != ABSENT and era_of(version) < era:
+            return
+        if now >= self._compares_from:
+            before = self._use_before_by_budget.get(budget)
+            if before is not None or row.recount_era < era:
+                row.recount(era, Tokens(0) if before is None else before.tokens)
+        self._use_by_budget[budget] = _Use(row.used(), now)
+
+    def allows_draws(self, row: BudgetRow) -> bool:
+        """Return whether tokens may be drawn from a row as compared."""
+        return row.recount_era >= (self.era or 0)
--- a/bluebellshore/budget/rows.py
+++ b/bluebellshore/budget/rows.py
@@ -89,22 +89,50 @@
     held: bool = False
 
 
-class BudgetRow(msgspec.Struct):
+class BudgetRow(msgspec.Struct, omit_defaults=True):
     """Row ``budget/<id>``: the tokens billed and the tokens held of one budget.
 
     `settled` and all outstanding tokens together never exceed the prepaid total.
 
     :param settled: tokens billed since the budget was created.
     :param allotments: tokens held, by incarnation.
+    :param recount_era: era of the store for which the row was compared with what the
+        routers had read in earlier eras.
+    :param recount_base: tokens used when it was first compared.
+    :param recounted: tokens added to `settled` by the comparison.
     """
 
     settled: Tokens = Tokens(0)
     allotments: dict[IncarnationId, Allotment] = msgspec.field(default_factory=dict)
+    recount_era: int = 0
+    recount_base: Tokens = Tokens(0)
+    recounted: Tokens = Tokens(0)
+
+    def used(self) -> Tokens:
+        """Return the tokens that are billed or held."""
+        held = sum(a.outstanding for a in self.allotments.values())
+        return Tokens(self.settled + held)
 
     def unallotted(self, prepaid_total: Tokens) -> Tokens:
         """Return the tokens that may still be granted."""
-        used = self.settled + sum(a.outstanding for a in self.allotments.values())
-        return Tokens(max(0, prepaid_total - used))
+        return Tokens(max(0, prepaid_total - self.used()))
+
+    def recount(self, era: int, used_before: Tokens) -> None:
+        """Count tokens as spent that were used before the store was restored.
+
+        Incarnations that live have repeated their changes by then, so what is still
+        missing was drawn by others. Any number of routers may do this: the most that
+        one of them has seen counts.
+
+        :param era: present era of the store.
+        :param used_before: tokens used when the row was read last in an earlier era.
+        """
+        if self.recount_era < era:
+            self.recount_era, self.recounted = era, Tokens(0)
+            self.recount_base = self.used()
+        missing = max(0, used_before - self.recount_base - self.recounted)
+        self.recounted = Tokens(self.recounted + missing)
+        self.settled = Tokens(self.settled + missing)
 
     def held(self) -> Tokens:
         """Return the tokens held for lost incarnations."""
--- a/bluebellshore/budget/transaction_builder.py
+++ b/bluebellshore/budget/transaction_builder.py
@@ -7,6 +7,7 @@
 
 from bluebellshore.budget.accounts import AllotmentAccounts, SpendingLimits
 from bluebellshore.budget.policy import AllotmentPolicy, AllotmentView
+from bluebellshore.budget.recount import Recount
 from bluebellshore.budget.replay import BudgetChange
 from bluebellshore.budget.rows import (
     Allotment,
@@ -186,6 +187,7 @@
         self.balances_by_budget: dict[BudgetId, BudgetBalance] = {}
         #: Local time until which no tokens are drawn.
         self.holds_draws_until = -math.inf
+        self._recount = Recount()
         self._incarnation = incarnation
         self._accounts = accounts
         self._policy = policy
@@ -203,6 +205,19 @@
         """Number of the next transaction."""
         return self._sequence + 1
 
+    @property
+    def era(self) -> int | None:
+        """Era of the store; None until it is known."""
+        return self._recount.era
+
+    def begin_era(self, era: int, now: float, hold_seconds: float) -> None:
+        """Learn the era of the store, at the start or after a restore.
+
+        :param hold_seconds: time in which nothing is drawn from budgets whose rows were
+            not compared in this era.
+        """
+        self._recount.begin_era(era, now, hold_seconds)
+
     def build_repetition(
         self,
         current: IncarnationRow,
@@ -388,6 +403,8 @@
         """
         budget_row = decode_row(row, BudgetRow) or BudgetRow()
         before = encode_uncompressed(budget_row)
+        version = ABSENT if row is None else row.version
+        self._recount.compare(budget, budget_row, version, now)
         own = budget_row.allotments.setdefault(self._incarnation, Allotment())
         wanted = own.wanted
         prepaid_total = self._prepaid(budget) or Tokens(0)
@@ -406,6 +423,8 @@
         if not surplus and not request.closing:
             wanted_by_peers = Tokens(sum(want[0] for want in peer_wants))
             grant = self._tokens_to_draw(view, demand, wanted_by_peers, now)
+            if not self._recount.allows_draws(budget_row):
+                grant = Tokens(0)
             payable = self.balances_by_budget[budget].tokens
             # What the budget can't pay for is no reason to write its row.
             if demand is not None and view.free + grant < demand.smallest <= payable:
@@ -421,7 +440,6 @@
             del budget_row.allotments[self._incarnation]
         if encode_uncompressed(budget_row) != before:
             own.sequence = transaction.sequence
-            version = ABSENT if row is None else row.version
             key = budget_key(budget)
             transaction.writes.append(Write(key, version, encode_row(budget_row)))
 
--- a/tests/test_budget_replay.py
+++ b/tests/test_budget_replay.py
@@ -6,21 +6,24 @@
 from bluebellshore.budget import FixedPolicy
 from bluebellshore.budget.accounts import AllotmentAccounts
 from bluebellshore.budget.committer import (
+    NEWCOMER_HOLD_SECONDS,
     RESTORE_HOLD_SECONDS,
     CommitResult,
     TransactionCommitter,
 )
+from bluebellshore.budget.recount import Recount
 from bluebellshore.budget.replay import (
     MAX_COPY_AGE_SECONDS,
     BudgetChange,
     ChangeLog,
 )
-from bluebellshore.budget.rows import IncarnationRow
+from bluebellshore.budget.rows import Allotment, BudgetRow, IncarnationRow
 from bluebellshore.budget.transaction_builder import CommitRequest, Demand
 from bluebellshore.ids import BudgetId
 from bluebellshore.platform.store import PlatformStore
 from bluebellshore.settings import PlatformSettings
 from bluebellshore.standin.platform import PlatformStandin
+from bluebellshore.store import version_in_era
 
 A, B = BudgetId("a"), BudgetId("b")
 
@@ -79,6 +82,57 @@
         self.assertEqual({A: (2, -2), B: (0, 10)}, self.lost())
 
 
+class RecountTest(unittest.TestCase):
+    """Compares the use of a budget before a restore with the row that came back."""
+
+    HOLD_SECONDS = 3.0
+
+    def setUp(self):
+        self.recount = Recount()
+        self.recount.begin_era(0, 0.0, 5.0)
+
+    def read(self, settled, now, era=0, row=None):
+        row = row or BudgetRow(settled)
+        self.recount.compare(A, row, version_in_era(era, 7), now)
+        return row
+
+    def restore(self, era=1, now=10.0):
+        self.recount.begin_era(era, now, self.HOLD_SECONDS)
+
+    def test_missing_tokens_count_as_spent_once(self):
+        self.read(900, now=9.0)
+        self.restore()
+        self.assertEqual(600, self.read(600, now=12.9, era=1).settled)
+        row = self.read(600, now=13.0, era=1)
+        self.assertEqual((900, 300), (row.settled, row.recounted))
+        row.settled += 50
+        self.assertEqual(950, self.read(0, now=14.0, era=1, row=row).settled)
+
+    def test_the_most_that_some_router_saw_counts(self):
+        row = BudgetRow(600)
+        row.recount(1, 700)
+        row.allotments["r"] = Allotment(40)
+        row.recount(1, 650)
+        self.assertEqual((700, 100), (row.settled, row.recounted))
+        row.recount(1, 900)
+        self.assertEqual((900, 300), (row.settled, row.recounted))
+
+    def test_old_reads_and_rows_of_an_older_era_say_nothing(self):
+        self.read(900, now=6.0)
+        self.restore()
+        self.assertEqual(600, self.read(600, now=14.0, era=1).settled)
+        self.restore(2, now=20.0)
+        stale = self.read(600, now=24.0, era=1)
+        self.assertFalse(self.recount.allows_draws(stale))
+
+    def test_second_restore_before_the_first_was_compared_loses_nothing(self):
+        self.read(900, now=9.0)
+        self.restore()
+        self.read(500, now=11.0, era=1)
+        self.restore(2, now=11.5)
+        self.assertEqual(900, self.read(500, now=15.0, era=2).settled)
+
+
 class HoldTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.standin = PlatformStandin(PlatformSettings())
@@ -121,3 +175,60 @@
         await self.draw(second, 9_000, 2.0)
         await self.draw(first, 5_000, 2.0 + RESTORE_HOLD_SECONDS)
         self.assertEqual(1_000, first_accounts.account(A).free)
+
+    async def lose_the_draw_of_a_killed_router(self):
+        """Return a committer that saw a draw of 8,000 tokens that nobody repeats."""
+        first, first_accounts = await self.open("r1.a")
+        killed, _ = await self.open("r2.a")
+        await self.draw(first, 1_000, 0.0)
+        await asyncio.sleep(0.5)
+        await self.draw(killed, 8_000, 0.0)
+        await self.draw(first, 1_500, 0.5)
+        self.standin.state.rows.restore(0.3)
+        await self.draw(first, 5_000, 1.0)
+        return first, first_accounts
+
+    async def test_tokens_that_a_killed_router_drew_in_the_lost_span_are_drawn_again(
+        self,
+    ):
+        first, accounts = await self.lose_the_draw_of_a_killed_router()
+        self.assertEqual(1_500, accounts.account(A).free)
+        await self.draw(first, 5_000, 1.0 + RESTORE_HOLD_SECONDS)
+        self.assertEqual(1_500, accounts.account(A).free)
+        await self.draw(first, 2_000, 2.0 + RESTORE_HOLD_SECONDS)
+        self.assertEqual(2_000, accounts.account(A).free)
+
+    async def test_router_that_starts_after_a_restore_draws_what_a_killed_one_had(self):
+        first, _ = await self.lose_the_draw_of_a_killed_router()
+        started, accounts = await self.open("r3.a")
+        await self.draw(started, 5_000, 2.0)
+        self.assertEqual(0, accounts.account(A).free)
+        await self.draw(first, 1_500, 1.0 + RESTORE_HOLD_SECONDS)
+        await self.draw(started, 5_000, 2.0 + NEWCOMER_HOLD_SECONDS)
+        self.assertEqual(0, accounts.account(A).free)
+        await self.draw(started, 500, 3.0 + NEWCOMER_HOLD_SECONDS)
+        self.assertEqual(500, accounts.account(A).free)
+
+    async def test_tokens_are_lost_by_a_restore_without_a_kill(self):
+        first, first_accounts = await self.open("r1.a")
+        second, _ = await self.open("r2.a")
+        await self.draw(first, 1_000, 0.0)
+        await asyncio.sleep(0.5)
+        await self.draw(second, 6_000, 0.0)
+        await self.draw(first, 1_500, 0.5)
+        self.standin.state.rows.restore(0.3)
+        await self.draw(second, 6_000, 1.0)
+        await self.draw(first, 1_500, 1.0)
+        await self.draw(first, 4_000, 1.0 + RESTORE_HOLD_SECONDS)
+        self.assertEqual(4_000, first_accounts.account(A).free)
+
+    async def test_budget_is_not_drawn_on_after_a_restore_long_ago(self):
+        first, _ = await self.open("r1.a")
+        await self.draw(first, 1_000, 0.0)
+        self.standin.state.rows.restore(0.0)
+        await self.draw(first, 1_000, 1.0)
+        started, accounts = await self.open("r2.a")
+        await self.draw(started, 500, 100.0)
+        self.assertEqual(0, accounts.account(A).free)
+        await self.draw(started, 500, 100.0 + NEWCOMER_HOLD_SECONDS)
+        self.assertEqual(500, accounts.account(A).free)
