Keep the operator port open while an incarnation of a router is replaced

Cause: the old incarnation closed the port before the new one, which reads the platform first, bound it again. Change: the new one takes over the listening socket; connections wait in between. Measured: a test opens a connection in between and is answered; with the port closed there is nothing that could answer.

--- a/bluebellshore/operator_port.py
+++ b/bluebellshore/operator_port.py
@@ -49,9 +49,14 @@
         self._snapshot = snapshot
         self._offer_bundle = offer_bundle
         self._runner: web.AppRunner | None = None
+        self._listener: socket.socket | None = None
 
-    async def start(self) -> str:
-        """Start serving. :return: the ``host:port`` bound."""
+    async def start(self, listener: socket.socket | None = None) -> str:
+        """Start serving.
+
+        :param listener: listening socket to serve on; None to bind one.
+        :return: the ``host:port`` bound.
+        """
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.add_routes(
             [
@@ -62,9 +67,19 @@
         )
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        self.address = await bind(self._runner, self._listen)
+        self._listener = listener or bound_socket(self._listen)
+        self.address = await serve_on(self._runner, self._listener)
         return self.address
 
+    async def hand_over(self) -> socket.socket:
+        """Stop serving, and leave the listening socket open for a successor.
+
+        Connections that are opened in between wait for it.
+        """
+        listener = self._listener.dup()
+        await self.stop()
+        return listener
+
     async def stop(self) -> None:
         """Stop serving and close all connections."""
         if self._runner is not None:
@@ -102,6 +117,11 @@
         for the kernel's default, which grows to some megabytes for a slow reader.
     :return: the ``host:port`` bound.
     """
+    return await serve_on(runner, bound_socket(listen, send_buffer_bytes))
+
+
+def bound_socket(listen: str, send_buffer_bytes: int = 0) -> socket.socket:
+    """Return a socket bound to ``host:port``, as for :func:`bind`."""
     host, _, port = listen.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -109,10 +129,15 @@
         # Accepted connections inherit the size from the listening socket.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
     listener.bind((host, int(port)))
+    return listener
+
+
+async def serve_on(runner: web.AppRunner, listener: socket.socket) -> str:
+    """Serve `runner` on a bound socket. :return: its ``host:port``."""
     site = web.SockSite(runner, listener)
     await site.start()
-    bound_port = runner.addresses[0][1]
-    return f"{host}:{bound_port}"
+    host, port = runner.addresses[0]
+    return f"{host}:{port}"
 
 
 def public_settings(settings: Any) -> dict[str, Any]:
--- a/bluebellshore/router/incarnation.py
+++ b/bluebellshore/router/incarnation.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -85,8 +86,12 @@
         await self.prepare()
         await self.open_caller_port()
 
-    async def prepare(self) -> None:
-        """Start everything except the port for callers, and wait until it is ready."""
+    async def prepare(self, operator_listener: socket.socket | None = None) -> None:
+        """Start everything except the port for callers, and wait until it is ready.
+
+        :param operator_listener: listening socket of an earlier incarnation; None to
+            bind the operator port.
+        """
         settings = self.settings
         self._platform = PlatformStore(
             settings.platform_url, call_seconds=BACKGROUND_CALL_TIMEOUT_SECONDS
@@ -141,7 +146,7 @@
             runner=JobRunner(self._dispatcher, lambda: self._keeper.current),
             keeper=self._keeper,
         )
-        await self._start_operator_port()
+        await self._start_operator_port(operator_listener)
         self._announcer = Announcer(
             self._instances,
             InstanceRole.ROUTER,
@@ -179,7 +184,7 @@
                 while not (self._keeper.current and self._pool.is_fully_linked()):
                     await asyncio.sleep(READY_POLL_SECONDS)
 
-    async def _start_operator_port(self) -> None:
+    async def _start_operator_port(self, listener: socket.socket | None) -> None:
         settings = self.settings
         self._operator_port = OperatorPort(
             settings.operator_listen,
@@ -187,7 +192,7 @@
             snapshot=self.snapshot,
             offer_bundle=self._keeper.offer,
         )
-        self.operator_address = await self._operator_port.start()
+        self.operator_address = await self._operator_port.start(listener)
 
     def _start_tasks(self) -> None:
         settings = self.settings
@@ -211,9 +216,9 @@
         await self._announcer.announce()
         await self.finish()
 
-    async def release_operator_port(self) -> None:
-        """Free the operator port for another incarnation."""
-        await self._operator_port.stop()
+    async def hand_over_operator_port(self) -> socket.socket:
+        """Stop serving operators. :return: the listening socket, which stays open."""
+        return await self._operator_port.hand_over()
 
     async def release_caller_port(self) -> None:
         """Stop accepting connections from callers; open ones continue."""
--- a/bluebellshore/router/router.py
+++ b/bluebellshore/router/router.py
@@ -53,8 +53,7 @@
             old = self._incarnation
             await old.fenced.wait()
             new = self._new_incarnation()
-            await old.release_operator_port()
-            await new.prepare()
+            await new.prepare(await old.hand_over_operator_port())
             # Until now the old incarnation refused requests, so that callers did not
             # find a closed port.
             await old.release_caller_port()
