Ask one peer at a time for rows that the store doesn't give

Cause: a router with an older configuration, or without the store, asked every peer that it called. Links of 10 Mbit/s hold 1.25 MB a second for requests and store alike. Change: one peer in each round is asked, one that has what is wanted, and for a configuration only if the store hasn't brought it within 0.5 s. No message changes.

--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -63,6 +63,9 @@
 MAX_KEPT_ROUNDS = 64
 #: Longest wait for tokens that a peer may ask of a lender.
 MAX_LOAN_WAIT_SECONDS = 0.5
+#: Time for which a router waits for the store to bring a configuration that a peer has
+#: before it asks a peer for it.
+CONFIGURATION_WAIT_SECONDS = 0.5
 #: Failed calls in a row after which the connection to a peer is opened again, as it may
 #: be broken without either end having noticed.
 FAILURES_TO_RECONNECT = 2
@@ -91,6 +94,9 @@
     :param next_at: monotonic seconds before which the peer is not called.
     :param leaving: whether the peer is shutting down.
     :param last_round_sent: number of the last round whose updates were sent to it.
+    :param configuration: number of the configuration in force there; -1 for none.
+    :param store_lost: whether it lacks the store.
+    :param asked_at: monotonic seconds at which it was last asked for rows.
     """
 
     address: str
@@ -103,6 +109,9 @@
     next_at: float = 0.0
     leaving: bool = False
     last_round_sent: int = 0
+    configuration: int = -1
+    store_lost: bool = False
+    asked_at: float = -1e9
 
 
 class _UpdateRound(msgspec.Struct, frozen=True):
@@ -162,6 +171,8 @@
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._recent_updates: deque[_UpdateRound] = deque(maxlen=MAX_KEPT_ROUNDS)
         self._round_number = 0
+        #: Since when the configuration in force here is known to be an old one.
+        self._outdated_since: float | None = None
         self.peers_by_address: dict[str, Peer] = {}
         self.leaving = False
         self._stopped = False
@@ -223,10 +234,42 @@
                 continue
             last_round_at = now
             due = peers_to_call(self.peers_by_address.values(), now)
-            calls = [self._exchange_with(peer) for peer in due]
+            asked = self._peer_to_ask(due, now)
+            calls = [self._exchange_with(peer, asks=peer is asked) for peer in due]
             if calls:
                 await asyncio.gather(*calls)
 
+    def _peer_to_ask(self, due: list[Peer], now: float) -> Peer | None:
+        """Return the peer that is asked for rows that the store doesn't give.
+
+        One at a time is asked: all of them would send the same rows at once, which may
+        fill the links of small instances.
+        """
+        number = self._configuration_number
+        newest = max((p.configuration for p in self.alive()), default=-1)
+        if newest <= number:
+            self._outdated_since = None
+        elif self._outdated_since is None:
+            self._outdated_since = now
+        waited = self._outdated_since is not None and (
+            now - self._outdated_since >= CONFIGURATION_WAIT_SECONDS
+        )
+        if self._store_lost():
+            fit = [p for p in due if not p.store_lost] or due
+        elif waited:
+            fit = [p for p in due if p.configuration > number]
+        else:
+            fit = []
+        asked = min(fit, key=lambda p: (p.failures, p.asked_at), default=None)
+        if asked is not None:
+            asked.asked_at = now
+        return asked
+
+    @property
+    def _configuration_number(self) -> int:
+        configuration = self._platform_state.configuration
+        return -1 if configuration is None else configuration.number
+
     def _collect_updates(self) -> LoadReport:
         """Keep what is new as a round of updates. :return: the report on load."""
         report = self._loads.take_report()
@@ -431,8 +474,17 @@
                 lost=counts.no_response,
             )
 
-    async def _exchange_with(self, peer: Peer) -> None:
+    async def _exchange_with(self, peer: Peer, *, asks: bool) -> None:
+        """Exchange state with a peer.
+
+        :param asks: whether to ask it for rows that this router lacks.
+        """
         state, round_number = self._state_for(peer), self._round_number
+        if not asks:
+            state.store_lost = False
+            state.ClearField("configuration")
+        elif not state.HasField("configuration"):
+            state.configuration = 0
         stub = peer_pb2_grpc.PeersStub(self._channel(peer.address))
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
@@ -442,6 +494,9 @@
             return
         peer.failures = 0
         peer.last_round_sent = round_number
+        peer.store_lost = reply.state.store_lost
+        if reply.state.HasField("configuration"):
+            peer.configuration = reply.state.configuration
         self._merge_state(reply.state)
         now = time.monotonic()
         if reply.HasField("configuration"):
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
+from bluebellshore.entry.peer_selection import EXCHANGE_INTERVAL_SECONDS
 from bluebellshore.entry.peers import PeerExchange
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.errors import LinkError
@@ -13,9 +15,12 @@
 from bluebellshore.routing.load import LoadTracker
 from bluebellshore.standin.ports import reserve_address
 from bluebellshore.store import TableChange, version_in_era
+from bluebellshore.wire import peer_pb2 as pb
 from tests.entry_fixtures import call, route, server
-from tests.test_entry_platform_state import configuration_row
+from tests.test_entry_platform_state import configuration_row, server_row
 
+#: Longest time after which a router reads a change from the store.
+STORE_DELAY_SECONDS = 0.36
 #: Longest wait for a condition; an exchange takes fractions of a second.
 WAIT_TIMEOUT_SECONDS = 20.0
 
@@ -50,6 +55,21 @@
         await self.peers.stop()
 
 
+@contextlib.contextmanager
+def record_rows(replies: list[pb.PeerReply]):
+    """Add each answer that carries rows to `replies`."""
+    exchange = PeerExchange.Exchange
+
+    async def recorded(self, request, context):
+        reply = await exchange(self, request, context)
+        if reply.HasField("configuration") or reply.tables:
+            replies.append(reply)
+        return reply
+
+    with mock.patch.object(PeerExchange, "Exchange", recorded):
+        yield
+
+
 class ExchangeTest(unittest.IsolatedAsyncioTestCase):
     @contextlib.asynccontextmanager
     async def routers(self, count: int):
@@ -134,6 +154,57 @@
             state.apply("op", TableChange([again], {}, version), 0.0)
             self.assertEqual(6, state.configuration.number)
 
+    async def test_configuration_is_copied_from_many_peers_at_once(self) -> None:
+        # With many routes these copies fill the links of small instances.
+        replies: list[pb.PeerReply] = []
+        with record_rows(replies):
+            async with self.routers(12) as routers:
+                for router in routers:
+                    await self.until(lambda r=router: len(r.peers.alive()) == 11)
+                self.configure(routers, number=1, version=5)
+                await asyncio.sleep(0.5)
+                replies.clear()
+                for router in routers:
+                    self.configure([router], number=2, version=9)
+                    await asyncio.sleep(STORE_DELAY_SECONDS / len(routers))
+                await asyncio.sleep(0.5)
+        self.assertLessEqual(len(replies), len(routers) // 2)
+
+    async def test_router_that_the_store_leaves_behind_asks_one_peer(self) -> None:
+        replies: list[pb.PeerReply] = []
+        with record_rows(replies):
+            async with self.routers(12) as (behind, *routers):
+                await self.until(lambda: len(behind.peers.alive()) == 11)
+                self.configure([behind, *routers], number=1, version=5)
+                self.configure(routers, number=2, version=9)
+                state = behind.platform_state
+                await self.until(lambda: state.configuration.number == 2)
+        self.assertEqual(1, len(replies))
+
+    async def test_router_without_the_store_gets_the_same_rows_from_all_peers(self):
+        replies: list[pb.PeerReply] = []
+        with record_rows(replies):
+            async with self.routers(12) as (behind, *routers):
+                await self.until(lambda: len(behind.peers.alive()) == 11)
+                self.configure(routers, number=2, version=9)
+                behind.store_lost = True
+                began_at = asyncio.get_running_loop().time()
+                for version in range(10, 30):
+                    renewed = TableChange([server_row("s", version)], {}, version)
+                    for router in routers:
+                        router.platform_state.apply("servers", renewed, 0.0)
+                    await asyncio.sleep(0.05)
+                self.assertEqual(2, behind.platform_state.configuration.number)
+                seconds = asyncio.get_running_loop().time() - began_at
+        rounds = seconds / (0.8 * EXCHANGE_INTERVAL_SECONDS)
+        self.assertLessEqual(len(replies), rounds + 1)
+
+    @staticmethod
+    def configure(routers: list[GossipRouter], *, number: int, version: int) -> None:
+        row = configuration_row(number, version)
+        for router in routers:
+            router.platform_state.apply("op", TableChange([row], {}, version), 0.0)
+
     async def test_crashes_reach_every_router(self) -> None:
         async with self.routers(3) as routers:
             for router in routers:
