Give up all idle connections to the store once a call on one timed out

Cause: the pool of the HTTP client reuses idle connections until they are known as closed. Change: after a timeout the next calls use a new session; calls in progress keep theirs, and the old session is closed with the last of them. Measured: test_each_call_waits_on_another_silent_connection failed before, passes.

--- a/bluebellshore/platform/store_calls.py
+++ b/bluebellshore/platform/store_calls.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from http import HTTPStatus
 from typing import NamedTuple, TypeVar
 
@@ -64,11 +66,21 @@
         self._call_seconds = call_seconds
         self._local_host = local_host
         self._session: aiohttp.ClientSession | None = None
+        self._calls_by_session: Counter[aiohttp.ClientSession] = Counter()
 
     async def open(self) -> None:
         """Create the HTTP session, which calls need."""
+        self._session = self._new_session()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+
+    def _new_session(self) -> aiohttp.ClientSession:
         local = (self._local_host, 0) if self._local_host else None
-        self._session = aiohttp.ClientSession(
+        session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, local_addr=local),
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
@@ -76,13 +88,31 @@
         # aiohttp retries a PUT if the connection was lost before the answer. The retry
         # would report that the object exists, so its creator would take it for
         # another process's object.
-        self._session._retry_connection = False
+        session._retry_connection = False
+        return session
 
-    async def close(self) -> None:
-        """Close all connections."""
-        session, self._session = self._session, None
-        if session is not None:
-            await session.close()
+    @asynccontextmanager
+    async def _use_session(self) -> AsyncIterator[aiohttp.ClientSession]:
+        """Yield the session for one call.
+
+        After a timeout the next calls use a new one, since all idle connections may be
+        as silent as this call's. Calls in progress keep their connections.
+        """
+        session = self._session
+        self._calls_by_session[session] += 1
+        try:
+            yield session
+        except asyncio.CancelledError:
+            # By the timeout of the call, or as its result is not wanted any more.
+            if session is self._session:
+                self._session = self._new_session()
+            raise
+        finally:
+            self._calls_by_session[session] -= 1
+            if not self._calls_by_session[session]:
+                del self._calls_by_session[session]
+                if session is not self._session:
+                    await session.close()
 
     async def call(
         self,
@@ -111,7 +141,8 @@
         try:
             async with (
                 asyncio.timeout(timeout_seconds or self._call_seconds),
-                self._session.request(
+                self._use_session() as session,
+                session.request(
                     method, url, data=body, headers=headers, allow_redirects=False
                 ) as response,
             ):
