--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -5,16 +5,19 @@
 import os
 import unittest
 import zlib
+from unittest import mock
 
 import msgspec
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from bluebellshore.backend.answer_reader import AnswerReader, MalformedAnswerError
 from bluebellshore.budget.rows import BudgetRow, IncarnationRow, decode_row
 from bluebellshore.bundle.delta import decode_header, decode_update
 from bluebellshore.bundle.rows import decode_row as decode_bundle_row
 from bluebellshore.bundle.signing import decode_payload
 from bluebellshore.duties.jobs import decode_job
+from bluebellshore.entry.events import EventSplitter
 from bluebellshore.entry.peers import PeerExchange
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.rollouts import RolloutController
@@ -35,6 +38,7 @@
 from bluebellshore.store import MemoryTable, Row
 from bluebellshore.wire import peer_pb2 as pb
 from tests.entry_fixtures import call, route, server
+from tests.scripted_server import ATTEMPT, answer
 from tests.test_entry_platform_state import change, configuration_row, order_row
 from tests.test_platform_decoding import ServerTest, encode, make_configuration
 
@@ -253,6 +257,65 @@
         self.assertGreaterEqual(head.max_output_tokens, 0)
 
 
+answer_pieces = st.one_of(
+    st.binary(max_size=40),
+    st.sampled_from(
+        [
+            answer("a1", b"ours"),
+            answer("a0", b"late"),
+            answer(None, b"x", status=503),
+            b"HTTP/1.1 100 Continue\r\n\r\n",
+            b"HTTP/1.1 204 No\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+            b"Content-Length: 5\r\nContent-Length: 6\r\n",
+            b"Content-Length: -1\r\n",
+            b"\r\n",
+            b"ffffffffffffffffff\r\n",
+            b"3\r\nabc\r\n",
+            b"0\r\n\r\n",
+            b"id: 1\ndata: x\n\n",
+            b"id: " + b"9" * 5000 + b"\n\n",
+        ]
+    ),
+)
+
+
+class AnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_odd_answer_raises_another_error_than_a_malformed_answer(self):
+        @GENERATED
+        @given(st.lists(answer_pieces, max_size=8), st.integers(1, 64))
+        def check(pieces: list[bytes], size: int) -> None:
+            flow = mock.Mock(connected=True, _reading_paused=False)
+            reader = AnswerReader(flow, ATTEMPT, "a1", has_body=True)
+            data = b"".join(pieces)
+            try:
+                for start in range(0, len(data), size):
+                    reader.feed(data[start : start + size])
+                reader.feed_eof()
+            except MalformedAnswerError:
+                return
+            found = reader.message.headers.getall(ATTEMPT, [])
+            self.assertIn(found, ([], ["a1"]))
+
+        check()
+
+    @GENERATED
+    @given(st.lists(answer_pieces, max_size=8), st.integers(1, 64))
+    def test_odd_stream_raises_another_error_than_its_reader_handles(
+        self, pieces: list[bytes], size: int
+    ) -> None:
+        splitter = EventSplitter()
+        data = b"".join(pieces)
+        events = []
+        try:
+            for start in range(0, len(data), size):
+                events += splitter.feed(data[start : start + size])
+        except ValueError:
+            return
+        whole = b"".join(event.data for event in events) + splitter.incomplete
+        self.assertEqual(data, whole)
+
+
 floats = st.one_of(st.floats(), st.sampled_from([math.nan, math.inf, -math.inf, 1e300]))
 names = st.sampled_from(["s", "s-1", "other", "", "\0", "a\r\nb"])
 small = st.integers(0, 2**32 - 1)
