--- a/bluebellshore/budget/committer.py
+++ b/bluebellshore/budget/committer.py
@@ -143,17 +143,16 @@
 
     def holds_draws(self, now: float) -> bool:
         """Return whether nothing is drawn, as the store was restored just before."""
-        return now < self._builder.holds_draws_until
+        return self._builder.recount.holds_draws(now)
 
     def note_restored(self, now: float) -> None:
         """Draw nothing for a while if the store came back from an older copy."""
         era = self._era()
         if self._known_era is not None and era > self._known_era:
             self._restored = True
-            self._builder.holds_draws_until = now + RESTORE_HOLD_SECONDS
-            self._builder.begin_era(era, now, RESTORE_HOLD_SECONDS)
-        elif self._builder.era is None:
-            self._builder.begin_era(era, now, NEWCOMER_HOLD_SECONDS)
+            self._builder.recount.begin_era(era, now, RESTORE_HOLD_SECONDS)
+        elif self._builder.recount.era is None:
+            self._builder.recount.start(era, now, NEWCOMER_HOLD_SECONDS)
         self._known_era = era
 
     async def commit(
--- a/bluebellshore/budget/recount.py
+++ b/bluebellshore/budget/recount.py
@@ -39,18 +39,29 @@
     def __init__(self) -> None:
         self.era: int | None = None
         self._compares_from = -math.inf
+        self._draws_from = -math.inf
         self._use_by_budget: dict[BudgetId, _Use] = {}
         self._use_before_by_budget: dict[BudgetId, _Use] = {}
 
+    def start(self, era: int, now: float, hold_seconds: float) -> None:
+        """Learn the era in which this incarnation starts.
+
+        :param now: monotonic seconds.
+        :param hold_seconds: time in which others, which know more, compare the rows if
+            the era has just begun.
+        """
+        self.era = era
+        self._compares_from = now + hold_seconds
+
     def begin_era(self, era: int, now: float, hold_seconds: float) -> None:
         """Keep what was read last as what the rows are compared with.
 
         :param now: monotonic seconds.
         :param hold_seconds: time in which the incarnations that live repeat their
-            changes.
+            changes. Nothing is drawn in it.
         """
         self.era = era
-        self._compares_from = now + hold_seconds
+        self._compares_from = self._draws_from = now + hold_seconds
         for budget, use in self._use_by_budget.items():
             before = self._use_before_by_budget.get(budget)
             recent = now - use.at <= MAX_READ_AGE_SECONDS
@@ -76,6 +87,10 @@
                 row.recount(era, Tokens(0) if before is None else before.tokens)
         self._use_by_budget[budget] = _Use(row.used(), now)
 
-    def allows_draws(self, row: BudgetRow) -> bool:
+    def holds_draws(self, now: float) -> bool:
+        """Return whether nothing is drawn, as an era has just begun."""
+        return now < self._draws_from
+
+    def allows_draws(self, row: BudgetRow, now: float) -> bool:
         """Return whether tokens may be drawn from a row as compared."""
-        return row.recount_era >= (self.era or 0)
+        return not self.holds_draws(now) and row.recount_era >= (self.era or 0)
--- a/bluebellshore/budget/transaction_builder.py
+++ b/bluebellshore/budget/transaction_builder.py
@@ -1,6 +1,5 @@
 """Builds the transactions of one incarnation from its accounts and stored rows."""
 
-import math
 from collections.abc import Callable
 
 import msgspec
@@ -185,9 +184,8 @@
         writes_ledger: bool = True,
     ):
         self.balances_by_budget: dict[BudgetId, BudgetBalance] = {}
-        #: Local time until which no tokens are drawn.
-        self.holds_draws_until = -math.inf
-        self._recount = Recount()
+        #: Compares rows of a restored store with what was read before.
+        self.recount = Recount()
         self._incarnation = incarnation
         self._accounts = accounts
         self._policy = policy
@@ -205,19 +203,6 @@
         """Number of the next transaction."""
         return self._sequence + 1
 
-    @property
-    def era(self) -> int | None:
-        """Era of the store; None until it is known."""
-        return self._recount.era
-
-    def begin_era(self, era: int, now: float, hold_seconds: float) -> None:
-        """Learn the era of the store, at the start or after a restore.
-
-        :param hold_seconds: time in which nothing is drawn from budgets whose rows were
-            not compared in this era.
-        """
-        self._recount.begin_era(era, now, hold_seconds)
-
     def build_repetition(
         self,
         current: IncarnationRow,
@@ -404,7 +389,7 @@
         budget_row = decode_row(row, BudgetRow) or BudgetRow()
         before = encode_uncompressed(budget_row)
         version = ABSENT if row is None else row.version
-        self._recount.compare(budget, budget_row, version, now)
+        self.recount.compare(budget, budget_row, version, now)
         own = budget_row.allotments.setdefault(self._incarnation, Allotment())
         wanted = own.wanted
         prepaid_total = self._prepaid(budget) or Tokens(0)
@@ -422,8 +407,8 @@
         own.wanted = Tokens(0)
         if not surplus and not request.closing:
             wanted_by_peers = Tokens(sum(want[0] for want in peer_wants))
-            grant = self._tokens_to_draw(view, demand, wanted_by_peers, now)
-            if not self._recount.allows_draws(budget_row):
+            grant = self._tokens_to_draw(view, demand, wanted_by_peers)
+            if not self.recount.allows_draws(budget_row, now):
                 grant = Tokens(0)
             payable = self.balances_by_budget[budget].tokens
             # What the budget can't pay for is no reason to write its row.
@@ -499,7 +484,6 @@
         view: AllotmentView,
         demand: Demand | None,
         wanted_by_peers: Tokens,
-        now: float,
     ) -> Tokens:
         """Return the tokens to draw.
 
@@ -510,7 +494,7 @@
         """
         lacking = 0 if demand is None else max(0, demand.total - view.free)
         smallest = 0 if demand is None else demand.smallest - view.free
-        if smallest > view.unallotted or now < self.holds_draws_until:
+        if smallest > view.unallotted:
             return Tokens(0)
         view = msgspec.structs.replace(view, shortfall=Tokens(lacking))
         uncontested = max(0, view.unallotted - wanted_by_peers)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -941,18 +941,98 @@
         "bluebellshore/budget/committer.py",
         "        if self._change_log.lost_changes():\n            result",
         "        if False:\n            result",
-        "tests.test_entry_restored_budgets.RestoredBudgetTest"
-        ".test_customer_spends_more_than_it_paid_after_a_restore",
+        "tests.test_budget_replay.HoldTest"
+        ".test_draw_that_no_other_router_saw_is_made_again_by_others",
     ),
     Mutant(
         "drawn-at-once-after-a-restore",
         "time for other routers to repeat their changes",
-        "bluebellshore/budget/transaction_builder.py",
-        " or now < self.holds_draws_until:\n",
-        ":\n",
+        "bluebellshore/budget/recount.py",
+        "self._compares_from = self._draws_from = now + hold_seconds",
+        "self._compares_from = self._draws_from = now",
         "tests.test_budget_replay.HoldTest"
         ".test_nothing_is_drawn_before_others_repeated_their_changes",
     ),
+    Mutant(
+        "killed-routers-not-recounted",
+        "tokens that killed routers drew in the span that a restore lost",
+        "bluebellshore/budget/rows.py",
+        "missing = max(0, used_before - self.recount_base - self.recounted)",
+        "missing = 0",
+        "tests.test_budget_replay.HoldTest"
+        ".test_tokens_that_a_killed_router_drew_in_the_lost_span_are_drawn_again",
+    ),
+    Mutant(
+        "newcomer-draws-at-once",
+        "rows that no router has compared since a restore",
+        "bluebellshore/budget/recount.py",
+        "return not self.holds_draws(now) and row.recount_era >= (self.era or 0)",
+        "return not self.holds_draws(now)",
+        "tests.test_budget_replay.HoldTest"
+        ".test_router_that_starts_after_a_restore_draws_what_a_killed_one_had",
+    ),
+    Mutant(
+        "loop-ends-for-good",
+        "background loops that run again after an error",
+        "bluebellshore/entry/background.py",
+        "        except Exception as error:\n",
+        "        except OSError as error:\n",
+        "tests.test_entry_background.BackgroundTest.test_loop_that_fails_ends_for_good",
+    ),
+    Mutant(
+        "answer-without-id-taken",
+        "whose answer it is on a connection that carried another request",
+        "bluebellshore/backend/direct.py",
+        "(status < 400 or not connection.is_first_request):",
+        "status < 400:",
+        "tests.test_backend_direct.DefaultLoopTests"
+        ".test_earlier_answer_without_id_passes_for_that_of_a_later_request",
+    ),
+    Mutant(
+        "unclear-refusal-passed-on",
+        "refusals that promise that the request never runs",
+        "bluebellshore/backend/direct.py",
+        "elif status in REFUSAL_STATUSES:",
+        "elif status in ():",
+        "tests.test_backend_direct.DefaultLoopTests"
+        ".test_refusal_that_does_not_say_not_run_reaches_the_caller",
+    ),
+    Mutant(
+        "text-in-a-stream",
+        "what is no event in a stream",
+        "bluebellshore/entry/relay.py",
+        "        return not event.malformed\n",
+        "        return True\n",
+        "tests.test_entry_relay.StreamRelayTest"
+        ".test_head_of_an_error_reaches_the_caller_of_a_stream_without_ids",
+    ),
+    Mutant(
+        "error-joined-to-a-stream",
+        "answers that are no rest of a stream",
+        "bluebellshore/entry/relay.py",
+        "if self.began and not _is_event_stream(answer):",
+        "if False:",
+        "tests.test_entry_dispatch.ResumableStreamTest"
+        ".test_text_of_the_next_server_is_joined_to_a_stream",
+    ),
+    Mutant(
+        "all-peers-asked-for-rows",
+        "one peer that is asked for rows",
+        "bluebellshore/entry/peers.py",
+        "self._exchange_with(peer, asks=peer is asked)",
+        "self._exchange_with(peer, asks=True)",
+        "tests.test_entry_peers.ExchangeTest"
+        ".test_configuration_is_copied_from_many_peers_at_once",
+    ),
+    Mutant(
+        "silent-connections-reused",
+        "idle connections after a timeout",
+        "bluebellshore/platform/store_calls.py",
+        "                self._session = self._new_session()\n            raise",
+        "                pass\n            raise",
+        "tests.test_platform_silent_connections.SilentConnectionsTest"
+        ".test_each_call_waits_on_another_silent_connection",
+    ),
 )
 
 
--- a/tests/test_budget_replay.py
+++ b/tests/test_budget_replay.py
@@ -89,7 +89,7 @@
 
     def setUp(self):
         self.recount = Recount()
-        self.recount.begin_era(0, 0.0, 5.0)
+        self.recount.start(0, 0.0, 5.0)
 
     def read(self, settled, now, era=0, row=None):
         row = row or BudgetRow(settled)
@@ -123,7 +123,7 @@
         self.assertEqual(600, self.read(600, now=14.0, era=1).settled)
         self.restore(2, now=20.0)
         stale = self.read(600, now=24.0, era=1)
-        self.assertFalse(self.recount.allows_draws(stale))
+        self.assertFalse(self.recount.allows_draws(stale, 24.0))
 
     def test_second_restore_before_the_first_was_compared_loses_nothing(self):
         self.read(900, now=9.0)
@@ -176,6 +176,18 @@
         await self.draw(first, 5_000, 2.0 + RESTORE_HOLD_SECONDS)
         self.assertEqual(1_000, first_accounts.account(A).free)
 
+    async def test_draw_that_no_other_router_saw_is_made_again_by_others(self):
+        first, first_accounts = await self.open("r1.a")
+        second, _ = await self.open("r2.a")
+        await self.draw(first, 1_000, 0.0)
+        await asyncio.sleep(0.5)
+        await self.draw(second, 8_000, 0.0)
+        self.standin.state.rows.restore(0.3)
+        await self.draw(second, 8_000, 1.0)
+        await self.draw(first, 5_000, 1.0)
+        await self.draw(first, 5_000, 1.0 + RESTORE_HOLD_SECONDS)
+        self.assertEqual(1_000, first_accounts.account(A).free)
+
     async def lose_the_draw_of_a_killed_router(self):
         """Return a committer that saw a draw of 8,000 tokens that nobody repeats."""
         first, first_accounts = await self.open("r1.a")
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -172,6 +172,14 @@
                 self.assertEqual(event(1) + event(2), sink.body)
                 self.assertFalse(sink.finished)
 
+    def test_head_of_an_error_reaches_the_caller_of_a_stream_without_ids(self):
+        for text in (b"HTTP/1.1 500 Oops\r\nA: b\r\n\r\n", b"internal error\n\n"):
+            pieces = [(0.1, b"data: a\n\n"), (0.1, text)]
+            with self.subTest(text):
+                sink, error, _, _ = self.relay(pieces)
+                self.assertIn("not an event", str(error))
+                self.assertEqual(b"data: a\n\n", sink.body)
+
     def test_events_without_ids_pass_as_long_as_none_has_one(self):
         pieces = [(0.1, b"data: a\n\n"), (0.1, b"event: end\nretry: 5\ndata\n\n")]
         sink, error, _, _ = self.relay(pieces)
