--- a/bluebellshore/decisions/changes.py
+++ b/bluebellshore/decisions/changes.py
@@ -29,6 +29,7 @@
         row_version: int | None = None,
         routes: int | None = None,
         customers: int | None = None,
+        size: int | None = None,
         reason: str = "",
     ) -> None:
         """Log that a configuration was applied or rejected.
@@ -39,6 +40,7 @@
         :param row_version: version of its row in the store.
         :param routes: number of routes in it.
         :param customers: number of customers in it.
+        :param size: bytes of its row's value.
         :param reason: why it was rejected.
         """
         self.write(
@@ -50,6 +52,7 @@
                 "row_version": row_version,
                 "routes": routes,
                 "customers": customers,
+                "bytes": size,
                 "reason": reason or None,
             },
             high_priority=not in_force,
--- a/bluebellshore/entry/platform_state.py
+++ b/bluebellshore/entry/platform_state.py
@@ -337,6 +337,7 @@
             row_version=row.version,
             routes=len(configuration.routes),
             customers=len(configuration.customers_by_id),
+            size=len(row.value),
         )
 
     def _apply_server(self, row: Row) -> None:
