Let the soak's store come back from older copies

Change: in three of ten runs with faults the store is away for up to 1.5 s and comes back from a copy of up to 5 s, once or twice. They are drawn on their own, so that the seeds of earlier findings keep their faults.

--- a/bluebellshore/soak/faults.py
+++ b/bluebellshore/soak/faults.py
@@ -25,6 +25,8 @@
 #: Writes a second that a busy store takes at most.
 MAX_BUSY_WRITES = 30
 MAX_JUMP_SECONDS = 8.0
+#: Age of the oldest copy from which the store comes back.
+MAX_COPY_AGE_SECONDS = 5.0
 #: Tables that are out while the store serves the others.
 PARTS = (["op"], ["servers"], ["budget", "incarnation"], ["routers"])
 #: Time for which answers of the store wait before a router is paused too.
@@ -230,6 +232,16 @@
                 ahead += MAX_JUMP_SECONDS * fault.strength
                 state.set_faults(PlatformFaults(clock_ahead_seconds=ahead))
                 return
+            case Action.STORE_RESTORED:
+                out = PlatformFaults(outage=NoAnswer.STATUS_503, tables=[])
+                state.set_faults(out)
+                async with self._lasting(fault, "outage") as last:
+                    copy_age = MAX_COPY_AGE_SECONDS * fault.strength
+                    state.set_faults(PlatformFaults(restore_seconds=copy_age))
+                    if last():
+                        state.set_faults(PlatformFaults(outage=False, tables=[]))
+                    self._system.entries.write_again()
+                return
             case Action.STORE_FORGETS:
                 state.set_faults(PlatformFaults(forget_history=True))
                 return
--- a/bluebellshore/soak/schedule.py
+++ b/bluebellshore/soak/schedule.py
@@ -5,7 +5,14 @@
 
 import msgspec
 
-__all__ = ["Action", "Fault", "Schedule", "draw_rolling_stops", "draw_schedule"]
+__all__ = [
+    "Action",
+    "Fault",
+    "Schedule",
+    "draw_restores",
+    "draw_rolling_stops",
+    "draw_schedule",
+]
 
 #: Calm time at the begin, in which everything starts to serve.
 LEAD_SECONDS = 1.0
@@ -29,6 +36,11 @@
 #: Share of these stops with other planned work within the time after them.
 BESIDE_SHARE = 0.5
 BESIDE_SECONDS = 8.0
+#: Share of the runs with faults in which the store comes back from an older copy, how
+#: often at most, and the longest time that it is away before.
+RESTORED_SHARE = 0.3
+MAX_RESTORES = 2
+MAX_AWAY_SECONDS = 1.5
 
 
 class Action(Enum):
@@ -74,6 +86,7 @@
     STORE_CLOCK = "store-clock"
     CONFIGURATION = "configuration"
     TOP_UP = "top-up"
+    STORE_RESTORED = "store-restored"
 
     @property
     def planned(self) -> bool:
@@ -91,6 +104,9 @@
         return self.value.startswith("server")
 
 
+#: What is drawn for all runs alike. Restores of the store are drawn on their own, so
+#: that the seeds of earlier findings keep their faults.
+_DRAWN = tuple(action for action in Action if action is not Action.STORE_RESTORED)
 #: Planned work at a router, which overlaps in some series.
 _ROUTER_WORK = (
     Action.ROUTER_STOP,
@@ -159,7 +175,7 @@
     """
     rng = random.Random(seed)
     mean_pause = rng.choice(MEAN_PAUSES_SECONDS)
-    actions = rng.choice([list(Action), _few(rng), sorted(_PLANNED, key=str)])
+    actions = rng.choice([list(_DRAWN), _few(rng), sorted(_PLANNED, key=str)])
     faults: list[Fault] = []
     at = LEAD_SECONDS
     while at < seconds:
@@ -183,6 +199,8 @@
     stops = random.Random(f"{seed}/stops")
     if set(actions) == _PLANNED and stops.random() < ROLLING_SHARE:
         faults += draw_rolling_stops(stops, seconds, routers)
+    if set(actions) != _PLANNED:
+        faults += draw_restores(random.Random(f"{seed}/restores"), seconds)
     faults.sort(key=lambda fault: fault.at)
     return Schedule(seed, seconds, routers, tuple(faults))
 
@@ -203,6 +221,21 @@
     return faults
 
 
+def draw_restores(rng: random.Random, seconds: float) -> list[Fault]:
+    """Return restores of the store from older copies: in most runs none, else a few."""
+    if rng.random() >= RESTORED_SHARE:
+        return []
+    return [
+        Fault(
+            at=round(rng.uniform(LEAD_SECONDS, seconds), 3),
+            action=Action.STORE_RESTORED,
+            seconds=round(rng.uniform(MIN_SECONDS, MAX_AWAY_SECONDS), 3),
+            strength=round(rng.random(), 3),
+        )
+        for _ in range(rng.randint(1, MAX_RESTORES))
+    ]
+
+
 def _planned(rng: random.Random, at: float, action: Action, target: int) -> Fault:
     return Fault(
         at=round(at, 3),
@@ -214,4 +247,4 @@
 
 
 def _few(rng: random.Random) -> list[Action]:
-    return rng.sample(list(Action), rng.randint(*FEW))
+    return rng.sample(_DRAWN, rng.randint(*FEW))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bluebellshore.soak import run
+from bluebellshore.soak import run, schedule
 from bluebellshore.soak.callers import PAID_COST, Kind, Sent, right_answer
 from bluebellshore.soak.checks import Broken, Record, check
 from bluebellshore.soak.faults import Happened
@@ -49,6 +49,17 @@
 
 
 class ScheduleTest(unittest.TestCase):
+    def test_restores_change_no_other_fault_of_a_seed(self):
+        restored = 0
+        for seed in range(40):
+            faults = draw_schedule(seed, 60.0, 3).faults
+            restores = [f for f in faults if f.action is Action.STORE_RESTORED]
+            with mock.patch.object(schedule, "RESTORED_SHARE", 0.0):
+                others = draw_schedule(seed, 60.0, 3).faults
+            self.assertEqual([f for f in faults if f not in restores], list(others))
+            restored += bool(restores)
+        self.assertGreater(restored, 2)
+
     def test_same_seed_gives_the_same_schedule(self):
         self.assertEqual(draw_schedule(7, 60.0, 3), draw_schedule(7, 60.0, 3))
         self.assertNotEqual(
