Write the end of a rollout again that a restored store has lost

Cause: a router stops reading the record once the rollout has ended. Change: with a new era of the store it reads the record once, and writes the end if it is missing; of several routers one succeeds.

--- a/bluebellshore/entry/rollouts.py
+++ b/bluebellshore/entry/rollouts.py
@@ -68,6 +68,8 @@
     :ivar due_since: when it became due.
     :ivar newer_order: whether the store holds the record of a newer order.
     :ivar finished_at: when this router learned that the rollout has ended.
+    :ivar final_era: era of the store in which the final record was last read or
+        written.
     """
 
     def __init__(self) -> None:
@@ -79,6 +81,7 @@
         self.due_since = 0.0
         self.newer_order = False
         self.finished_at: float | None = None
+        self.final_era = 0
 
 
 class RolloutController:
@@ -91,6 +94,7 @@
     :param store_lost: returns whether the store has given no answer for a while.
     :param store_seconds: returns the present time by the store's clock; None when
         unknown.
+    :param store_era: returns how often the store has come back from an older copy.
     :param rng: source of jitter.
     """
 
@@ -104,6 +108,7 @@
         peers: Callable[[], Sequence[IncarnationId]],
         store_lost: Callable[[], bool],
         store_seconds: Callable[[], float | None],
+        store_era: Callable[[], int] = lambda: 0,
         rng: random.Random | None = None,
     ):
         self._platform_state = platform_state
@@ -113,6 +118,7 @@
         self._peers = peers
         self._store_lost = store_lost
         self._store_seconds = store_seconds
+        self._store_era = store_era
         self._rng = rng or random.Random()
         self._trackers_by_service: dict[ServiceName, RolloutTracker] = {}
         self._syncs_by_service: dict[ServiceName, _RecordSync] = {}
@@ -250,6 +256,7 @@
             sync = self._syncs_by_service[service]
             if tracker.state.is_final and sync.finished_at is None:
                 sync.finished_at = now
+                sync.final_era = self._store_era()
                 self._log(tracker, "rollout_decided", state=tracker.state.value)
 
     async def run(self) -> None:
@@ -263,10 +270,16 @@
         for service, tracker in list(self._trackers_by_service.items()):
             sync = self._syncs_by_service[service]
             now = self._now()
-            if now < sync.retry_at or tracker.state.is_final or sync.newer_order:
+            is_lost = tracker.state.is_final and sync.final_era < self._store_era()
+            if now < sync.retry_at or sync.newer_order:
+                continue
+            if tracker.state.is_final and not is_lost:
                 continue
             try:
-                await self._sync_record(service, tracker, sync)
+                if is_lost:
+                    await self._restore_final_record(service, tracker, sync)
+                else:
+                    await self._sync_record(service, tracker, sync)
             except TransactionConflictError:
                 sync.read_at = -1e9
             except PlatformError as error:
@@ -351,6 +364,23 @@
             tracker, "rollout_written", state=state.value, reason=tracker.bad_reason
         )
 
+    async def _restore_final_record(
+        self, service: ServiceName, tracker: RolloutTracker, sync: _RecordSync
+    ) -> None:
+        """Write the end of a rollout again if a restored store has lost it."""
+        era = self._store_era()
+        keys = [rollout_record_key(service), rollout_status_key(service)]
+        rows = await self._table.read(keys)
+        record = _decode_row(rows.get(keys[0]))
+        sync.record_version = _row_version(rows, keys[0])
+        sync.status_version = _row_version(rows, keys[1])
+        is_older = record is None or record.order < tracker.order_version
+        if is_older or (
+            record.order == tracker.order_version and not record.state.is_final
+        ):
+            await self._write_record(service, tracker, sync, tracker.state)
+        sync.final_era = era
+
     def _next_record(
         self, tracker: RolloutTracker, state: RolloutState
     ) -> RolloutRecord:
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -182,6 +182,7 @@
             peers=self._peers.serving,
             store_lost=lambda: self._watch.lost,
             store_seconds=self._store_seconds,
+            store_era=lambda: self._store.era,
         )
         self._peers.rollouts = self._rollouts
         self._admission = Admission(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -971,6 +971,15 @@
         "tests.test_budget_replay.HoldTest"
         ".test_router_that_starts_after_a_restore_draws_what_a_killed_one_had",
     ),
+    Mutant(
+        "lost-end-of-a-rollout",
+        "the end of a rollout, written again after a restore",
+        "bluebellshore/entry/rollouts.py",
+        "sync.final_era < self._store_era()",
+        "False",
+        "tests.test_entry_rollouts.RolloutsTest"
+        ".test_end_of_a_rollout_that_a_restore_lost_is_never_told_again",
+    ),
     Mutant(
         "loop-ends-for-good",
         "background loops that run again after an error",
--- a/tests/test_entry_rollouts.py
+++ b/tests/test_entry_rollouts.py
@@ -24,7 +24,7 @@
 from bluebellshore.platform.rollouts import decode_record, rollout_record_key
 from bluebellshore.rollouts import ExposureLimit, RolloutState
 from bluebellshore.routing.results import AttemptResult
-from bluebellshore.store import MemoryFaults, MemoryTable
+from bluebellshore.store import MemoryFaults, MemoryTable, Write
 from bluebellshore.wire import peer_pb2
 
 ORDER_SECONDS = 20.0
@@ -146,6 +146,7 @@
             s.server_id: s for s in (*make_servers(OLD, "o"), *make_servers(NEW, "n"))
         }
         self.lost = False
+        self.era = 0
         self.routers: list[RolloutController] = []
         self.platform_states: list[PlatformState] = []
         self.names = [IncarnationId(f"r{n}") for n in range(count)]
@@ -163,6 +164,7 @@
             peers=lambda: [n for n in self.names if n != name],
             store_lost=lambda: self.lost,
             store_seconds=lambda: asyncio.get_running_loop().time(),
+            store_era=lambda: self.era,
             rng=random.Random(name),
         )
         self.routers.append(router)
@@ -252,6 +254,32 @@
 
         self.run_virtual(main)
 
+    def test_end_of_a_rollout_that_a_restore_lost_is_never_told_again(self) -> None:
+        async def main() -> None:
+            fleet = Fleet(3)
+            fleet.order(5)
+            await fleet.advance(2.0)
+            rows = dict(fleet.table.rows_by_key)
+            fleet.run_failing_calls(fleet.routers[0], 60)
+            await fleet.advance(ORDER_SECONDS)
+            self.assertEqual(ROLLED_BACK, fleet.status())
+            ended = fleet.table.rows_by_key[rollout_status_key(SERVICE)].version
+            # The store came back from a copy of the time before.
+            await fleet.table.transact(
+                [
+                    Write(key, fleet.table.rows_by_key[key].version, row.value)
+                    for key, row in rows.items()
+                ]
+            )
+            self.assertEqual(IN_PROGRESS, fleet.status())
+            fleet.era = 1
+            await fleet.advance(2.0)
+            self.assertEqual(ROLLED_BACK, fleet.status())
+            row = fleet.table.rows_by_key[rollout_status_key(SERVICE)]
+            self.assertEqual(ended + 2, row.version)
+
+        self.run_virtual(main)
+
     def test_bad_verdict_stops_traffic_at_once_and_reaches_peers(self) -> None:
         async def main() -> None:
             fleet = Fleet(2)
