Choose the peer that is asked for rows apart from the exchange

Change: the choice is a function without I/O beside the one of peers to call, with its load pattern and a test; no change of behaviour. Measured: tests.test_entry_peers and tests.test_entry_peer_selection pass.

--- a/bluebellshore/entry/peer_selection.py
+++ b/bluebellshore/entry/peer_selection.py
@@ -5,14 +5,17 @@
 it seemed dead, and the choices that rest on the members would change all the time.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Protocol, TypeVar
 
 __all__ = [
+    "CONFIGURATION_WAIT_SECONDS",
     "EXCHANGE_INTERVAL_SECONDS",
     "MAX_PEERS_PER_ROUND",
     "Contact",
+    "Source",
     "is_alive",
+    "peer_to_ask",
     "peers_to_call",
     "silence_limit_seconds",
 ]
@@ -31,6 +34,10 @@
 #: no longer counts as alive, whether calls to it failed or not.
 MAX_SILENT_CYCLES = 2.0
 
+#: Time for which a router waits for the store to bring a configuration that a peer has
+#: before it asks a peer for it.
+CONFIGURATION_WAIT_SECONDS = 0.5
+
 
 class Contact(Protocol):
     """What a router knows of its contact with a peer.
@@ -45,7 +52,23 @@
     next_at: float
 
 
+class Source(Protocol):
+    """What a router knows of a peer that it may ask for rows.
+
+    :ivar failures: calls in a row that failed.
+    :ivar configuration: number of the configuration in force there; -1 for none.
+    :ivar store_lost: whether the peer lacks the store.
+    :ivar asked_at: monotonic seconds at which it was last asked.
+    """
+
+    failures: int
+    configuration: int
+    store_lost: bool
+    asked_at: float
+
+
 ContactT = TypeVar("ContactT", bound=Contact)
+SourceT = TypeVar("SourceT", bound=Source)
 
 
 def peers_to_call(peers: Iterable[ContactT], now: float) -> list[ContactT]:
@@ -56,6 +79,32 @@
     return due[: min(MAX_PEERS_PER_ROUND, (len(due) + 1) // 2)]
 
 
+def peer_to_ask(
+    peers: Sequence[SourceT],
+    *,
+    configuration: int,
+    store_lost: bool,
+    outdated_seconds: float,
+) -> SourceT | None:
+    """Return the peer that is asked for rows that the store doesn't give, if any.
+
+    Handles a large configuration in a large fleet. All peers of a round would send the
+    same rows at once, which fills the links of small instances.
+
+    :param peers: peers that are to be called.
+    :param configuration: number of the configuration in force; -1 for none.
+    :param store_lost: whether this router lacks the store.
+    :param outdated_seconds: time since a peer was first known to have a newer
+        configuration.
+    """
+    sources: Sequence[SourceT] = []
+    if store_lost:
+        sources = [peer for peer in peers if not peer.store_lost] or peers
+    elif outdated_seconds >= CONFIGURATION_WAIT_SECONDS:
+        sources = [peer for peer in peers if peer.configuration > configuration]
+    return min(sources, key=lambda peer: (peer.failures, peer.asked_at), default=None)
+
+
 def silence_limit_seconds(peer_count: int) -> float:
     """Return the time for which a peer may be silent while no call to it fails."""
     rounds = peer_count / MAX_PEERS_PER_ROUND
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import time
 from collections import deque
@@ -30,6 +31,7 @@
     EXCHANGE_INTERVAL_SECONDS,
     MAX_PEERS_PER_ROUND,
     is_alive,
+    peer_to_ask,
     peers_to_call,
 )
 from bluebellshore.entry.platform_state import PlatformState
@@ -67,9 +69,6 @@
 ASK_TIMEOUT_SECONDS = 1.5
 #: Longest wait for tokens that a peer may ask of a lender.
 MAX_LOAN_WAIT_SECONDS = 0.5
-#: Time for which a router waits for the store to bring a configuration that a peer has
-#: before it asks a peer for it.
-CONFIGURATION_WAIT_SECONDS = 0.5
 #: Failed calls in a row after which the connection to a peer is opened again, as it may
 #: be broken without either end having noticed.
 FAILURES_TO_RECONNECT = 2
@@ -175,8 +174,8 @@
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._recent_updates: deque[_UpdateRound] = deque(maxlen=MAX_KEPT_ROUNDS)
         self._round_number = 0
-        #: Since when the configuration in force here is known to be an old one.
-        self._outdated_since: float | None = None
+        #: Monotonic seconds since which a peer is known to have a newer configuration.
+        self._outdated_since = math.inf
         #: Call in progress in which a peer is asked for rows.
         self._asking: asyncio.Task | None = None
         self.peers_by_address: dict[str, Peer] = {}
@@ -243,7 +242,7 @@
                 continue
             last_round_at = now
             due = peers_to_call(self.peers_by_address.values(), now)
-            asked = self._peer_to_ask(due, now)
+            asked = self._choose_peer_to_ask(due, now)
             if asked is not None:
                 self._asking = asyncio.create_task(self._ask(asked))
             calls = [self._exchange_with(p, asks=False) for p in due if p is not asked]
@@ -258,30 +257,22 @@
             reason = f"{type(error).__name__}: {error}"
             self._log.notice("loop", reason, loop="peers", peer=peer.address)
 
-    def _peer_to_ask(self, due: list[Peer], now: float) -> Peer | None:
-        """Return the peer that is asked for rows that the store doesn't give.
-
-        One at a time is asked: all of them would send the same rows at once, which may
-        fill the links of small instances.
-        """
+    def _choose_peer_to_ask(self, due: list[Peer], now: float) -> Peer | None:
+        """Return the peer that is asked for rows; None for none, or if one is asked."""
         if self._asking is not None and not self._asking.done():
             return None
         number = self._configuration_number
-        newest = max((p.configuration for p in self.alive()), default=-1)
+        newest = max((peer.configuration for peer in self.alive()), default=-1)
         if newest <= number:
-            self._outdated_since = None
-        elif self._outdated_since is None:
-            self._outdated_since = now
-        waited = self._outdated_since is not None and (
-            now - self._outdated_since >= CONFIGURATION_WAIT_SECONDS
-        )
-        if self._store_lost():
-            fit = [p for p in due if not p.store_lost] or due
-        elif waited:
-            fit = [p for p in due if p.configuration > number]
+            self._outdated_since = math.inf
         else:
-            fit = []
-        asked = min(fit, key=lambda p: (p.failures, p.asked_at), default=None)
+            self._outdated_since = min(self._outdated_since, now)
+        asked = peer_to_ask(
+            due,
+            configuration=number,
+            store_lost=self._store_lost(),
+            outdated_seconds=now - self._outdated_since,
+        )
         if asked is not None:
             asked.asked_at = now
         return asked
--- a/tests/test_entry_peer_selection.py
+++ b/tests/test_entry_peer_selection.py
@@ -5,9 +5,11 @@
 import unittest
 
 from bluebellshore.entry.peer_selection import (
+    CONFIGURATION_WAIT_SECONDS,
     EXCHANGE_INTERVAL_SECONDS,
     MAX_PEERS_PER_ROUND,
     is_alive,
+    peer_to_ask,
     peers_to_call,
 )
 
@@ -20,6 +22,9 @@
     seen_at: float = 0.0
     failures: int = 0
     next_at: float = 0.0
+    configuration: int = -1
+    store_lost: bool = False
+    asked_at: float = -1e9
 
 
 class SimulatedFleet:
@@ -109,5 +114,29 @@
         self.assertEqual(peers_to_call(peers, 1.0)[0].number, 0)
 
 
+class PeerToAskTest(unittest.TestCase):
+    def ask(self, *peers: Peer, store_lost: bool = False, seconds: float = 9.0):
+        return peer_to_ask(
+            peers, configuration=4, store_lost=store_lost, outdated_seconds=seconds
+        )
+
+    def test_only_a_newer_configuration_is_asked_for_and_not_at_once(self):
+        newer = Peer(1, configuration=5)
+        self.assertIs(newer, self.ask(Peer(2, configuration=4), newer))
+        self.assertIsNone(self.ask(Peer(2, configuration=4)))
+        self.assertIsNone(self.ask(newer, seconds=CONFIGURATION_WAIT_SECONDS / 2))
+
+    def test_peer_that_has_the_store_and_answers_is_asked_in_turn(self):
+        peers = [Peer(1, store_lost=True), Peer(2, asked_at=7.0), Peer(3, asked_at=6.0)]
+        self.assertEqual(3, self.ask(*peers, store_lost=True).number)
+        peers[2].failures = 1
+        self.assertEqual(2, self.ask(*peers, store_lost=True).number)
+
+    def test_peer_without_the_store_is_better_than_none(self):
+        lost = Peer(1, store_lost=True)
+        self.assertIs(lost, self.ask(lost, store_lost=True))
+        self.assertIsNone(self.ask(store_lost=True))
+
+
 if __name__ == "__main__":
     unittest.main()
