Forget the use of a budget before a restore once nothing of it is missing

Saw (reading, then a test): after a second restore, long after the first, what a router had read before the first counted once more. Tokens that were held then and returned since would have counted as spent, and the customer lost them. Cause: what was read before an earlier era was kept for good. Change: it is forgotten when a row is read that lacks nothing of it.

--- a/bluebellshore/budget/recount.py
+++ b/bluebellshore/budget/recount.py
@@ -81,10 +81,12 @@
         era = self.era or 0
         if version != ABSENT and era_of(version) < era:
             return
-        if now >= self._compares_from:
-            before = self._use_before_by_budget.get(budget)
-            if before is not None or row.recount_era < era:
-                row.recount(era, Tokens(0) if before is None else before.tokens)
+        before = self._use_before_by_budget.get(budget)
+        if now >= self._compares_from and (before or row.recount_era < era):
+            used_before = before.tokens if before else Tokens(0)
+            if not row.recount(era, used_before):
+                # Nothing is missing in the row as it was read.
+                self._use_before_by_budget.pop(budget, None)
         self._use_by_budget[budget] = _Use(row.used(), now)
 
     def holds_draws(self, now: float) -> bool:
--- a/bluebellshore/budget/rows.py
+++ b/bluebellshore/budget/rows.py
@@ -117,7 +117,7 @@
         """Return the tokens that may still be granted."""
         return Tokens(max(0, prepaid_total - self.used()))
 
-    def recount(self, era: int, used_before: Tokens) -> None:
+    def recount(self, era: int, used_before: Tokens) -> bool:
         """Count tokens as spent that were used before the store was restored.
 
         Incarnations that live have repeated their changes by then, so what is still
@@ -126,13 +126,16 @@
 
         :param era: present era of the store.
         :param used_before: tokens used when the row was read last in an earlier era.
+        :return: whether the row was changed.
         """
-        if self.recount_era < era:
+        is_first = self.recount_era < era
+        if is_first:
             self.recount_era, self.recounted = era, Tokens(0)
             self.recount_base = self.used()
         missing = max(0, used_before - self.recount_base - self.recounted)
         self.recounted = Tokens(self.recounted + missing)
         self.settled = Tokens(self.settled + missing)
+        return is_first or missing > 0
 
     def held(self) -> Tokens:
         """Return the tokens held for lost incarnations."""
--- a/tests/test_budget_replay.py
+++ b/tests/test_budget_replay.py
@@ -125,6 +125,17 @@
         stale = self.read(600, now=24.0, era=1)
         self.assertFalse(self.recount.allows_draws(stale, 24.0))
 
+    def test_use_before_an_earlier_restore_counts_once_more_after_the_next(self):
+        self.read(900, now=9.0)
+        self.restore()
+        row = self.read(600, now=13.0, era=1)
+        self.read(0, now=14.0, era=1, row=row)
+        # Tokens that were held have been returned since.
+        row.settled = 500
+        self.read(0, now=99.0, era=1, row=row)
+        self.restore(2, now=100.0)
+        self.assertEqual(500, self.read(0, now=104.0, era=2, row=row).settled)
+
     def test_second_restore_before_the_first_was_compared_loses_nothing(self):
         self.read(900, now=9.0)
         self.restore()
