--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -848,7 +848,7 @@
         "object-created-again",
         "creation of an object sent once",
         "bluebellshore/platform/store_calls.py",
-        "        self._session._retry_connection = False\n",
+        "        session._retry_connection = False\n",
         "",
         "tests.test_standin_platform.ObjectTest"
         ".test_creator_of_an_object_whose_answer_is_lost_is_not_told_it_existed",
