--- a/review/common.py
+++ b/review/common.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import secrets
+import signal
 import subprocess
 import sys
 import tempfile
@@ -310,9 +311,11 @@
     """Run a case; exit with 2 if it could not run."""
     record = Record(pathlib.Path(folder))
     record.write(f"TROUBLE={int(TROUBLE)}")
+    # Whoever stops the script stops the processes that it started, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = asyncio.run(asyncio.wait_for(case(record), 115.0))
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.write(f"could not run: {type(error).__name__}: {error}")
         code = CANNOT_RUN
     record.write(f"exit {code}")
