--- a/bluebellshore/entry/crash_guard.py
+++ b/bluebellshore/entry/crash_guard.py
@@ -4,8 +4,14 @@
 
 from bluebellshore.backend import AttemptError, AttemptOutcome
 from bluebellshore.errors import OverloadError, RunState
-from bluebellshore.fleet import Call, choose_service, fingerprint_of, shared_parts_of
-from bluebellshore.ids import BackendServerId
+from bluebellshore.fleet import (
+    BackendServer,
+    Call,
+    ServerState,
+    choose_service,
+    fingerprint_of,
+    shared_parts_of,
+)
 from bluebellshore.routing.crash_tracker import CrashTracker
 
 __all__ = ["CrashGuard"]
@@ -27,6 +33,7 @@
         self._tracker = tracker
         self._call = call
         self._parts = shared_parts_of(call, choose_service(call))
+        self._sent_at = 0.0
         self._first_event_at: float | None = None
         self._events = 0
 
@@ -58,8 +65,10 @@
 
     def record_sent(self, now: float) -> None:
         """Record that an attempt is sent."""
-        self._first_event_at, self._events = None, 0
-        self._tracker.record_sent(self._parts, now)
+        self._sent_at, self._first_event_at, self._events = now, None, 0
+        # Without evidence of crashes there is no use for the fingerprint.
+        fingerprint = self._fingerprint if self._tracker else ""
+        self._tracker.record_sent(self._parts, now, fingerprint)
 
     def record_events(self, count: int, now: float) -> None:
         """Record that events of the answer arrived."""
@@ -70,10 +79,13 @@
             if self._events >= MIN_EVENTS:
                 self._tracker.record_answer_began(self._parts, self._first_event_at)
 
-    def record_answered(self, status: int, *, is_stream: bool, now: float) -> None:
+    def record_answered(
+        self, server: BackendServer, status: int, *, is_stream: bool, now: float
+    ) -> None:
         """Record that an answer is complete."""
-        if self._tracker:
-            self._tracker.clear_request(self._fingerprint)
+        self._tracker.record_alive(server.server_id, self._sent_at)
+        if status < 500:
+            self._tracker.clear_request(self._fingerprint, now)
         if not 200 <= status < 300 or self._events >= MIN_EVENTS:
             return
         if not is_stream:
@@ -82,13 +94,33 @@
             self._tracker.record_answer_began(self._parts, self._first_event_at)
 
     def record_failed(
-        self, server_id: BackendServerId, error: AttemptError, now: float
+        self,
+        server: BackendServer,
+        listed: BackendServer | None,
+        error: AttemptError,
+        now: float,
     ) -> None:
-        """Record that an attempt failed, which may mean that the server crashed."""
-        if error.reset and error.outcome is AttemptOutcome.UNKNOWN:
+        """Record that an attempt failed, which may mean that the server crashed.
+
+        :param listed: the server by its present entry; None if that is gone.
+        """
+        server_id = server.server_id
+        if error.outcome is AttemptOutcome.NOT_RUN:
+            self._tracker.record_alive(server_id, self._sent_at)
+        elif error.outcome is AttemptOutcome.MISDIRECTED or (
+            error.outcome is AttemptOutcome.NOT_SENT and not error.timed_out
+        ):
+            self._tracker.record_unreachable(server_id, now)
+        elif error.reset and error.outcome is AttemptOutcome.UNKNOWN:
+            if listed is None or listed.state is not ServerState.READY:
+                # A server that leaves closes its connections in the end.
+                return
             parts = self._parts if self._first_event_at is None else ()
             self._tracker.record_broken_connection(
-                server_id, self._fingerprint, now, parts
+                server_id,
+                self._fingerprint,
+                now,
+                parts,
+                sent_at=self._sent_at,
+                listed=server,
             )
-        elif error.outcome is AttemptOutcome.NOT_SENT and not error.timed_out:
-            self._tracker.record_unreachable(server_id, now)
--- a/bluebellshore/entry/crash_messages.py
+++ b/bluebellshore/entry/crash_messages.py
@@ -5,16 +5,21 @@
 from bluebellshore.entry.message_values import is_duration
 from bluebellshore.ids import BackendServerId, ScopedPart
 from bluebellshore.routing.crash_tracker import CrashReport
+from bluebellshore.routing.crashing_requests import AnsweredRequest, RefusedRequest
 from bluebellshore.routing.suspected_parts import AnsweredPart, BlamedParts
 from bluebellshore.wire import peer_pb2 as pb
 
 __all__ = [
     "read_answered_parts",
+    "read_answered_requests",
     "read_blames",
     "read_crashes",
+    "read_refusals",
     "write_answered_parts",
+    "write_answered_requests",
     "write_blames",
     "write_crashes",
+    "write_refusals",
 ]
 
 
@@ -29,6 +34,12 @@
             server=report.server_id,
             fingerprints=report.fingerprints,
             age_seconds=max(0.0, now - broke_at),
+            sent_ages_seconds=[
+                max(0.0, now - report.sent_at_by_fingerprint.get(name, broke_at))
+                for name in report.fingerprints
+            ],
+            started_unix_ms=report.started_unix_ms,
+            died=report.died,
         )
         for fingerprint, parts in report.parts_by_fingerprint.items():
             message.requests.add(fingerprint=fingerprint, parts=parts)
@@ -44,12 +55,22 @@
                 request.fingerprint: tuple(ScopedPart(part) for part in request.parts)
                 for request in message.requests
             }
+            sent_at_by_fingerprint = {
+                fingerprint: now - age_seconds
+                for fingerprint, age_seconds in zip(
+                    message.fingerprints, message.sent_ages_seconds, strict=False
+                )
+                if is_duration(age_seconds)
+            }
             yield CrashReport(
                 BackendServerId(message.server),
                 tuple(message.fingerprints),
                 parts_by_fingerprint,
                 confirmed,
                 now - message.age_seconds,
+                sent_at_by_fingerprint,
+                message.started_unix_ms,
+                message.died,
             )
 
 
@@ -90,3 +111,48 @@
                 now - message.age_seconds,
                 message.interval_seconds,
             )
+
+
+def write_answered_requests(
+    answers: Iterable[AnsweredRequest], state: pb.PeerState, now: float
+) -> None:
+    """Add answered requests to a message, with the age of the answer at `now`."""
+    for answer in answers:
+        state.answered_requests.add(
+            fingerprint=answer.fingerprint,
+            age_seconds=max(0.0, now - answer.answered_at),
+        )
+
+
+def read_answered_requests(
+    state: pb.PeerState, now: float
+) -> Iterator[AnsweredRequest]:
+    """Yield the answered requests of a message."""
+    for message in state.answered_requests:
+        if is_duration(message.age_seconds):
+            yield AnsweredRequest(message.fingerprint, now - message.age_seconds)
+
+
+def write_refusals(
+    refusals: Iterable[RefusedRequest], state: pb.PeerState, now: float
+) -> None:
+    """Add refused requests to a message, with the age of the last crash at `now`."""
+    for refusal in refusals:
+        state.refused_requests.add(
+            fingerprint=refusal.fingerprint,
+            age_seconds=max(0.0, now - refusal.crashed_at),
+            interval_seconds=refusal.interval_seconds,
+            crashes=refusal.crashes,
+        )
+
+
+def read_refusals(state: pb.PeerState, now: float) -> Iterator[RefusedRequest]:
+    """Yield the refused requests of a message."""
+    for message in state.refused_requests:
+        if is_duration(message.age_seconds) and is_duration(message.interval_seconds):
+            yield RefusedRequest(
+                message.fingerprint,
+                now - message.age_seconds,
+                message.interval_seconds,
+                message.crashes,
+            )
--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -327,13 +327,15 @@
                 AttemptResult.FAILED if answer.status >= 500 else AttemptResult.ANSWERED
             )
             progress.guard.record_answered(
+                server,
                 answer.status,
                 is_stream=progress.relay is not None,
                 now=loop.time(),
             )
         except AttemptError as error:
             result = result_of(error)
-            progress.guard.record_failed(server.server_id, error, loop.time())
+            listed = self._platform_state.servers_by_id.get(server.server_id)
+            progress.guard.record_failed(server, listed, error, loop.time())
             raise
         finally:
             now = loop.time()
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -19,11 +19,15 @@
 from bluebellshore.decisions import Contact, DecisionLog, silent_log
 from bluebellshore.entry.crash_messages import (
     read_answered_parts,
+    read_answered_requests,
     read_blames,
     read_crashes,
+    read_refusals,
     write_answered_parts,
+    write_answered_requests,
     write_blames,
     write_crashes,
+    write_refusals,
 )
 from bluebellshore.entry.loans import Loan, LoanServer
 from bluebellshore.entry.message_values import is_count
@@ -49,6 +53,7 @@
 )
 from bluebellshore.routing.backpressure import BackpressureTracker, ServerStatement
 from bluebellshore.routing.crash_tracker import CrashReport, CrashTracker
+from bluebellshore.routing.crashing_requests import AnsweredRequest, RefusedRequest
 from bluebellshore.routing.load import CachedPart, LoadReport, LoadTracker, ServerLoad
 from bluebellshore.routing.results import ResultCounts
 from bluebellshore.routing.suspected_parts import AnsweredPart, BlamedParts
@@ -128,6 +133,8 @@
     crashes: list[CrashReport]
     answered: list[AnsweredPart]
     blames: list[BlamedParts]
+    answered_requests: list[AnsweredRequest]
+    refusals: list[RefusedRequest]
 
 
 class PeerExchange(peer_pb2_grpc.PeersServicer):
@@ -288,11 +295,21 @@
         crashes = self._crashes.take_reports()
         answered = self._crashes.take_answered_parts()
         blames = self._crashes.blames(unreported_only=True)
-        updated = report.parts or report.results_by_server
-        if updated or crashes or answered or blames:
+        answered_requests = self._crashes.take_answered_requests()
+        refusals = self._crashes.refusals(unreported_only=True)
+        updated = report.parts or report.results_by_server or answered_requests
+        if updated or crashes or answered or blames or refusals:
             self._round_number += 1
             self._recent_updates.append(
-                _UpdateRound(self._round_number, report, crashes, answered, blames)
+                _UpdateRound(
+                    self._round_number,
+                    report,
+                    crashes,
+                    answered,
+                    blames,
+                    answered_requests,
+                    refusals,
+                )
             )
         return report
 
@@ -340,6 +357,9 @@
             read_answered_parts(state, now),
             read_blames(state, now),
         )
+        self._crashes.merge_refusals(
+            read_refusals(state, now), now, read_answered_requests(state, now)
+        )
         for stated in self._backpressure.merge(read_statements(state, now)):
             self._on_statement(stated, state.address)
         self._loads.merge_report(incarnation, _decode_load_report(state), now)
@@ -472,6 +492,8 @@
             write_crashes(update.crashes, state, now)
             write_answered_parts(update.answered, state, now)
             write_blames(update.blames, state, now)
+            write_answered_requests(update.answered_requests, state, now)
+            write_refusals(update.refusals, state, now)
         for server_id, parts in parts_by_server.items():
             state.parts.add(
                 server=server_id,
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -71,6 +71,10 @@
 #: has just connected sends its request within that time.
 DRAIN_IDLE_SECONDS = 0.5
 SERVER_CHECK_SECONDS = 0.25
+#: Heartbeats that a backend server misses until its entry lapses.
+HEARTBEATS_UNTIL_LAPSE = 3
+#: Time after that in which the lapse is known here.
+LAPSE_DELAY_SECONDS = 2.0
 #: Largest age of the configuration in metrics, and its age until one is confirmed.
 MAX_CONFIGURATION_AGE_SECONDS = 1e6
 #: Share of a backend server's connection limit that all routers together may use.
@@ -127,7 +131,11 @@
         self._outliers = OutlierDetector()
         self._ejection_log = EjectionLog(self._outliers, self._log)
         self._loads = LoadTracker(self._outliers)
-        self._crashes = CrashTracker(self.incarnation, self._router_count)
+        self._crashes = CrashTracker(
+            self.incarnation,
+            self._router_count,
+            HEARTBEATS_UNTIL_LAPSE * settings.heartbeat_seconds + LAPSE_DELAY_SECONDS,
+        )
         self._crash_log = CrashLog(self._crashes, self._log)
         instance_id = InstanceId(settings.instance_id)
         self._rate_senders = RateSenders(instance_id)
@@ -430,11 +438,15 @@
         while True:
             await asyncio.sleep(SERVER_CHECK_SECONDS)
             self._ejection_log.log_changes()
-            self._crash_log.log_changes()
             now = time.monotonic()
             self._update_rate_senders(now)
             # Called to drop the entries whose grace period is over.
             self._platform_state.servers_of("", now)
+            died = self._crashes.settle(
+                self._platform_state.servers_by_id, now, store_lost=self._watch.lost
+            )
+            self._crash_log.log_crashes(died)
+            self._crash_log.log_changes()
             self._backpressure.forget_unlisted(
                 self._platform_state.servers_by_id.__contains__, now
             )
--- a/bluebellshore/routing/suspected_parts.py
+++ b/bluebellshore/routing/suspected_parts.py
@@ -13,9 +13,9 @@
 from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
-import xxhash
 
 from bluebellshore.ids import ScopedPart
+from bluebellshore.routing.probes import next_probe_at
 
 __all__ = ["AnsweredPart", "BlamedParts", "SuspectedParts"]
 
@@ -40,8 +40,6 @@
 #: each crash.
 PROBE_INTERVAL_SECONDS = 30.0
 MAX_PROBE_INTERVAL_SECONDS = 900.0
-#: Routers that share the time between two probes; more of them wait longer.
-ROUTERS_PER_PROBE_INTERVAL = 8
 #: Parts remembered with their last answer.
 MAX_ANSWERED_PARTS = 4096
 #: Blamed sets of parts remembered.
@@ -276,10 +274,13 @@
         self._schedule_probe(blame, now)
 
     def _schedule_probe(self, blame: _Blame, now: float) -> None:
-        name = "\0".join((self._router, *sorted(blame.parts)))
-        turn = xxhash.xxh32_intdigest(name.encode()) / 2**32
-        spread = max(1.0, self._count_routers() / ROUTERS_PER_PROBE_INTERVAL)
-        blame.probe_at = now + blame.interval_seconds * (1.0 + turn * spread)
+        blame.probe_at = next_probe_at(
+            now,
+            blame.interval_seconds,
+            router=self._router,
+            subject="\0".join(sorted(blame.parts)),
+            routers=self._count_routers(),
+        )
 
     def _update_blames(self, now: float) -> None:
         if not self._evidence_changed:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -697,8 +697,8 @@
     Mutant(
         "crashes-not-blamed",
         "refusal of requests that crash servers",
-        "bluebellshore/routing/crash_tracker.py",
-        "        return crashes >= CRASHES_TO_REFUSE",
+        "bluebellshore/routing/crashing_requests.py",
+        "        return _count_in_a_row(likely) >= self._crashes_needed(fingerprint)",
         "        return False",
         "tests.test_routing_crash_tracker.ReplayTest"
         ".test_crashing_request_that_is_retried_through_any_router",
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -209,10 +209,11 @@
         async with self.routers(3) as routers:
             for router in routers:
                 await self.until(lambda r=router: len(r.peers.alive()) == 2)
-            for name in ("a", "b"):
-                routers[0].crashes.record_broken_connection(name, "bad", 0.0)
-                routers[0].crashes.record_unreachable(name, 0.0)
             now = asyncio.get_running_loop().time
+            for number, name in enumerate(("a", "b")):
+                crashed_at = now() - 1.0 + number
+                routers[0].crashes.record_broken_connection(name, "bad", crashed_at)
+                routers[0].crashes.record_unreachable(name, crashed_at)
             for router in routers[1:]:
                 crashes = router.crashes
                 await self.until(lambda c=crashes: c.should_refuse("bad", now()))
--- a/tests/test_routing_crash_tracker.py
+++ b/tests/test_routing_crash_tracker.py
@@ -40,7 +40,7 @@
 
     def test_request_that_completes_is_cleared(self):
         self.crash("s1", "a", "b", now=0.0)
-        self.tracker.clear_request("a")
+        self.tracker.clear_request("a", 0.5)
         self.crash("s2", "a", "c", now=1.0)
         self.assertFalse(self.tracker.should_refuse("a", 1.0))
 
