--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -23,12 +23,8 @@
     read_blames,
     read_crashes,
     read_refusals,
-    write_answered_parts,
-    write_answered_requests,
-    write_blames,
-    write_crashes,
-    write_refusals,
 )
+from bluebellshore.entry.evidence_rounds import EvidenceRounds
 from bluebellshore.entry.loans import Loan, LoanServer
 from bluebellshore.entry.message_values import is_count
 from bluebellshore.entry.peer_selection import (
@@ -52,11 +48,9 @@
     Tokens,
 )
 from bluebellshore.routing.backpressure import BackpressureTracker, ServerStatement
-from bluebellshore.routing.crash_tracker import CrashReport, CrashTracker
-from bluebellshore.routing.crashing_requests import AnsweredRequest, RefusedRequest
+from bluebellshore.routing.crash_tracker import CrashTracker
 from bluebellshore.routing.load import CachedPart, LoadReport, LoadTracker, ServerLoad
 from bluebellshore.routing.results import ResultCounts
-from bluebellshore.routing.suspected_parts import AnsweredPart, BlamedParts
 from bluebellshore.store import Row, TableChange
 from bluebellshore.wire import peer_pb2 as pb
 from bluebellshore.wire import peer_pb2_grpc
@@ -102,6 +96,8 @@
     :param next_at: monotonic seconds before which the peer is not called.
     :param leaving: whether the peer is shutting down.
     :param last_round_sent: number of the last round whose updates were sent to it.
+    :param evidence_confirmed: number of the last evidence on crashes that it heard.
+    :param evidence_heard: number of the last evidence that was heard from it.
     :param configuration: number of the configuration in force there; -1 for none.
     :param store_lost: whether it lacks the store.
     :param asked_at: monotonic seconds at which it was last asked for rows.
@@ -117,6 +113,8 @@
     next_at: float = 0.0
     leaving: bool = False
     last_round_sent: int = 0
+    evidence_confirmed: int = 0
+    evidence_heard: int = 0
     configuration: int = -1
     store_lost: bool = False
     asked_at: float = -1e9
@@ -130,11 +128,6 @@
 
     number: int
     report: LoadReport
-    crashes: list[CrashReport]
-    answered: list[AnsweredPart]
-    blames: list[BlamedParts]
-    answered_requests: list[AnsweredRequest]
-    refusals: list[RefusedRequest]
 
 
 class PeerExchange(peer_pb2_grpc.PeersServicer):
@@ -176,6 +169,7 @@
         self._platform_state = platform_state
         self._loads = loads
         self._crashes = CrashTracker() if crashes is None else crashes
+        self._evidence = EvidenceRounds(self._crashes)
         self._store_lost = store_lost
         self._server: grpc.aio.Server | None = None
         self._channels: dict[str, grpc.aio.Channel] = {}
@@ -235,7 +229,7 @@
             self._log_lost_contacts(now)
             round_before = self._round_number
             report = self._collect_updates()
-            busy = self._round_number != round_before
+            busy = self._round_number != round_before or self._evidence.is_new
             busy = busy or report.loads_by_server
             busy = busy or self._store_lost()
             busy = busy or (self.rollouts is not None and self.rollouts.needs_full_rate)
@@ -292,25 +286,10 @@
     def _collect_updates(self) -> LoadReport:
         """Keep what is new as a round of updates. :return: the report on load."""
         report = self._loads.take_report()
-        crashes = self._crashes.take_reports()
-        answered = self._crashes.take_answered_parts()
-        blames = self._crashes.blames(unreported_only=True)
-        answered_requests = self._crashes.take_answered_requests()
-        refusals = self._crashes.refusals(unreported_only=True)
-        updated = report.parts or report.results_by_server or answered_requests
-        if updated or crashes or answered or blames or refusals:
+        if report.parts or report.results_by_server:
             self._round_number += 1
-            self._recent_updates.append(
-                _UpdateRound(
-                    self._round_number,
-                    report,
-                    crashes,
-                    answered,
-                    blames,
-                    answered_requests,
-                    refusals,
-                )
-            )
+            self._recent_updates.append(_UpdateRound(self._round_number, report))
+        self._evidence.collect()
         return report
 
     async def Exchange(  # noqa: N802 (name of the generated interface)
@@ -326,6 +305,9 @@
         if peer is not None:
             # Updates in an answer that is lost are not sent again: these are hints.
             peer.last_round_sent = self._round_number
+            if not request.HasField("evidence_heard"):
+                # An older build doesn't confirm what it heard.
+                peer.evidence_confirmed = self._evidence.number
         row = self._platform_state.configuration_row
         if (
             row is not None
@@ -350,6 +332,11 @@
             self._record_contact(peer, incarnation)
             peer.instance_id = InstanceId(state.instance_id)
             peer.leaving = state.leaving
+            if state.evidence_since <= peer.evidence_heard:
+                peer.evidence_heard = max(peer.evidence_heard, state.evidence_number)
+            if state.HasField("evidence_heard"):
+                heard = state.evidence_heard_from == self._incarnation
+                peer.evidence_confirmed = state.evidence_heard if heard else 0
         now = time.monotonic()
         self._crashes.merge_reports(
             read_crashes(state, now),
@@ -469,8 +456,10 @@
                 held_tokens=load.held_tokens,
             )
         sent = self._round_number if peer is None else peer.last_round_sent
-        if not sent:
-            write_blames(self._crashes.blames(), state, time.monotonic())
+        if peer is not None:
+            self._evidence.write(state, peer.evidence_confirmed, time.monotonic())
+            state.evidence_heard = peer.evidence_heard
+            state.evidence_heard_from = peer.incarnation
         self._write_updates(
             state, [update for update in self._recent_updates if update.number > sent]
         )
@@ -481,7 +470,6 @@
         return state
 
     def _write_updates(self, state: pb.PeerState, updates: list[_UpdateRound]) -> None:
-        now = time.monotonic()
         parts_by_server: dict[BackendServerId, list[CachedPart]] = {}
         results: dict[BackendServerId, ResultCounts] = {}
         for update in updates:
@@ -489,11 +477,6 @@
                 parts_by_server.setdefault(seen.server_id, []).append(seen)
             for server_id, counts in update.report.results_by_server.items():
                 results.setdefault(server_id, ResultCounts()).add(counts)
-            write_crashes(update.crashes, state, now)
-            write_answered_parts(update.answered, state, now)
-            write_blames(update.blames, state, now)
-            write_answered_requests(update.answered_requests, state, now)
-            write_refusals(update.refusals, state, now)
         for server_id, parts in parts_by_server.items():
             state.parts.add(
                 server=server_id,
@@ -529,6 +512,8 @@
             return
         peer.failures = 0
         peer.last_round_sent = round_number
+        if not reply.state.HasField("evidence_heard"):
+            peer.evidence_confirmed = state.evidence_number
         peer.store_lost = reply.state.store_lost
         if reply.state.HasField("configuration"):
             peer.configuration = reply.state.configuration
@@ -551,7 +536,7 @@
         restarted = peer.incarnation and peer.incarnation != incarnation
         peer.incarnation = IncarnationId(incarnation)
         if restarted:
-            peer.last_round_sent = 0
+            peer.last_round_sent = peer.evidence_confirmed = peer.evidence_heard = 0
         if restarted or not peer.in_contact:
             peer.in_contact = True
             self._log.peer(
--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -77,6 +77,21 @@
         self.assertEqual(self.count_crashes(), 2)
         self.assertEqual(await self.send(self.routers[0], b"sound"), 200)
 
+    # review/5: a router that had restarted passed on what all others refused.
+    async def test_router_that_restarts_refuses_it_as_well(self):
+        for number in range(2):
+            await self.send(self.routers[number])
+            await asyncio.sleep(KNOWN_SECONDS)
+        for number in (0, 1, 0):
+            instance = self.routers[number]
+            await instance.router.stop()
+            await self.start_router(instance)
+            await self.wait_until_synced(instance)
+            await wait_until(lambda i=instance: i.router.snapshot()["peers"], "peers")
+            await asyncio.sleep(KNOWN_SECONDS)
+            self.assertEqual(await self.send(instance), 503)
+        self.assertEqual(self.count_crashes(), 2)
+
     async def test_order_whose_connections_break_on_servers_that_live_is_served(self):
         for _ in range(2):
             for runner in self.runners:
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -260,7 +260,7 @@
             )
             await routers[1].stop()
             # The rounds in which the crashes were told are no longer kept.
-            routers[0].peers._recent_updates.clear()
+            routers[0].peers._evidence._rounds.clear()
             restarted = GossipRouter("r1", (routers[0].address,), routers[1].address)
             await restarted.start()
             routers[1] = restarted
--- a/tests/test_routing_crashing_requests.py
+++ b/tests/test_routing_crashing_requests.py
@@ -104,6 +104,14 @@
                     other.merge_reports(reports, self.now)
                     other.merge_refusals(refusals, self.now, answered)
 
+    def restart(self, number: int) -> None:
+        """Restart a router; its peers tell it what they know."""
+        self.trackers[number] = tracker = self.new_tracker(number)
+        for other in self.trackers:
+            if other is not tracker:
+                tracker.merge_reports(other.summarize(), self.now)
+                tracker.merge_refusals(other.refusals(), self.now)
+
     def send(self, fingerprint: str, router: int | None = None) -> bool:
         """Send a request. :return: whether it was passed on."""
         if router is None:
@@ -254,6 +262,31 @@
             self.assertTrue(tracker.should_refuse(DEADLY, 1.3))
             self.assertFalse(tracker.should_refuse("sound-0", 1.3))
 
+    # review/5: a router that had restarted passed on what all others refused.
+    def test_routers_that_restart_in_turn_are_told(self):
+        for seed in range(10):
+            fleet = Fleet(5, 3, seed)
+            for _ in range(3):
+                fleet.send(DEADLY)
+                fleet.run(5.0)
+            for number in range(30):
+                fleet.restart(number % 5)
+                fleet.run(1.0)
+                fleet.send(DEADLY, number % 5)
+                fleet.run(4.0)
+            self.assertEqual(len(fleet.crashes_at), 2, seed)
+
+    def test_first_crash_is_told_to_routers_that_restart(self):
+        fleet = Fleet(5, 3)
+        fleet.send(DEADLY)
+        for number in range(5):
+            fleet.run(6.0)
+            fleet.restart(number)
+        fleet.send(DEADLY)
+        fleet.run(6.0)
+        self.assertFalse(fleet.send(DEADLY))
+        self.assertEqual(len(fleet.crashes_at), 2)
+
     def test_few_probes_reach_servers_in_a_day(self):
         for routers in (5, 68):
             with self.subTest(routers):
