--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -30,6 +30,7 @@
 from bluebellshore.entry.peer_selection import silence_limit_seconds
 from bluebellshore.entry.peers import PeerExchange
 from bluebellshore.entry.platform_state import PlatformState
+from bluebellshore.entry.refusal_registry import RefusalRegistry
 from bluebellshore.entry.request_log import RequestLog
 from bluebellshore.entry.rollouts import RolloutController
 from bluebellshore.entry.router_registry import RouterRegistry
@@ -162,6 +163,9 @@
             self._peers.add_addresses,
             self._log,
         )
+        self._refusal_registry = RefusalRegistry(
+            self._store, self._crashes, self._store_seconds, self._log
+        )
         self._backend = DirectBackend(
             ANSWER_HEADERS,
             max_connections=self._max_connections,
@@ -233,6 +237,7 @@
             "watch": self._watch.run,
             "peers": self._peers.run,
             "registry": self._router_registry.run,
+            "refusals": self._refusal_registry.run,
             "admission": self._admission.run,
             "rollouts": self._rollouts.run,
             "servers": self._check_servers,
--- a/bluebellshore/routing/crash_tracker.py
+++ b/bluebellshore/routing/crash_tracker.py
@@ -124,6 +124,15 @@
         """Return the refused requests; afterwards they count as reported."""
         return self._requests.refusals(unreported_only=unreported_only)
 
+    def own_refusals(self) -> list[RefusedRequest]:
+        """Return the refused requests that ran here at a remembered crash."""
+        own = {
+            fingerprint
+            for crash in self._crashes
+            for fingerprint in crash.own_fingerprints
+        }
+        return self._requests.refusals_of(sorted(own))
+
     @property
     def blamed_parts(self) -> list[frozenset[ScopedPart]]:
         """Sets of prompt parts; requests with all parts of one are refused."""
--- a/bluebellshore/routing/crashing_requests.py
+++ b/bluebellshore/routing/crashing_requests.py
@@ -190,14 +190,20 @@
         }
         for refusal in found.values():
             refusal.reported = True
+        return self.refusals_of(found)
+
+    def refusals_of(self, fingerprints: Iterable[str]) -> list[RefusedRequest]:
+        """Return those of the requests that are refused."""
+        by_fingerprint = self._refusals_by_fingerprint
         return [
             RefusedRequest(
                 fingerprint,
-                refusal.crashed_at,
-                refusal.interval_seconds,
-                refusal.crashes,
+                by_fingerprint[fingerprint].crashed_at,
+                by_fingerprint[fingerprint].interval_seconds,
+                by_fingerprint[fingerprint].crashes,
             )
-            for fingerprint, refusal in found.items()
+            for fingerprint in fingerprints
+            if fingerprint in by_fingerprint
         ]
 
     def merge_refusals(self, refusals: Iterable[RefusedRequest], now: float) -> None:
--- a/tests/test_entry_crashing_requests.py
+++ b/tests/test_entry_crashing_requests.py
@@ -92,6 +92,19 @@
             self.assertEqual(await self.send(instance), 503)
         self.assertEqual(self.count_crashes(), 2)
 
+    async def test_routers_that_all_start_anew_refuse_it_as_well(self):
+        for number in range(2):
+            await self.send(self.routers[number])
+            await asyncio.sleep(KNOWN_SECONDS)
+        await asyncio.gather(*(instance.router.stop() for instance in self.routers))
+        for instance in self.routers:
+            await self.start_router(instance)
+        await self.wait_until_synced(*self.routers)
+        await asyncio.sleep(KNOWN_SECONDS)
+        for instance in self.routers:
+            self.assertEqual(await self.send(instance), 503)
+        self.assertEqual(self.count_crashes(), 2)
+
     async def test_order_whose_connections_break_on_servers_that_live_is_served(self):
         for _ in range(2):
             for runner in self.runners:
