--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -20,6 +20,7 @@
 )
 from bluebellshore.entry.attempt_log import AttemptLog
 from bluebellshore.entry.crash_guard import CrashGuard
+from bluebellshore.entry.held_bytes import HeldBytes
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.relay import Sink, StreamRelay, relay_plain
 from bluebellshore.entry.request_log import RequestTrace
@@ -114,6 +115,7 @@
         share each retry budget.
     :param attempt_log: logs and counts attempts.
     :param crash_tracker: remembers which requests ran at servers that crashed.
+    :param held_bytes: counts what all answers hold.
     :ivar active: calls being served.
     """
 
@@ -134,7 +136,9 @@
         attempt_log: AttemptLog | None = None,
         crash_tracker: CrashTracker | None = None,
         rollouts: RolloutController | None = None,
+        held_bytes: HeldBytes | None = None,
     ):
+        self._held_bytes = held_bytes or HeldBytes()
         self._attempt_log = attempt_log or AttemptLog(loads)
         self._platform_state = platform_state
         self._loads = loads
@@ -226,7 +230,7 @@
         now = asyncio.get_running_loop().time
         retry_budget.count_request(now())
         if call.route.kind is RouteKind.STREAM:
-            progress.relay = StreamRelay(call, sink)
+            progress.relay = StreamRelay(call, sink, self._held_bytes)
         while True:
             try:
                 async with self._take_place(call, service, progress) as admitted:
@@ -434,4 +438,9 @@
         may_repeat = (
             call.route.repeatable and progress.sends + 1 < call.route.max_attempts
         )
-        await relay_plain(answer, sink, repeat_failures=may_repeat)
+        await relay_plain(
+            answer,
+            sink,
+            repeat_failures=may_repeat,
+            held_bytes=self._held_bytes,
+        )
--- a/bluebellshore/entry/relay.py
+++ b/bluebellshore/entry/relay.py
@@ -8,6 +8,7 @@
 
 from bluebellshore.backend import Answer, AttemptError, AttemptOutcome
 from bluebellshore.entry.events import Event, EventSplitter
+from bluebellshore.entry.held_bytes import HeldBytes
 from bluebellshore.fleet import Call
 
 __all__ = ["Sink", "StreamRelay", "relay_plain"]
@@ -16,6 +17,8 @@
 #: Bytes of a plain answer that are buffered until the answer is known to be complete;
 #: a larger answer is passed on as it arrives.
 MAX_BUFFERED_BYTES = 1024 * 1024
+#: Size of the pieces in which buffered bytes are passed on.
+PIECE_BYTES = 32 * 1024
 #: Idle timeout of a stream: the longest of this time, this multiple of the longest
 #: pause that its route declares, and this multiple of the route's latency objective.
 #: Callers disconnect after the same pause.
@@ -51,38 +54,51 @@
         """Mark the end of the body; the answer is complete."""
 
 
-async def relay_plain(answer: Answer, sink: Sink, *, repeat_failures: bool) -> None:
+async def relay_plain(
+    answer: Answer,
+    sink: Sink,
+    *,
+    repeat_failures: bool,
+    held_bytes: HeldBytes | None = None,
+) -> None:
     """Pass an answer on once it is complete, or as it arrives when it is large.
 
     :param repeat_failures: raise an error for a status of 500 or above, so that the
         request may be repeated.
+    :param held_bytes: counts what all answers hold; large ones hold less when that is
+        too much.
     :raises AttemptError: the answer is incomplete, or a failure to be repeated.
     """
     buffered = bytearray()
     chunks = answer.chunks()
-    async for data in chunks:
-        buffered += data
-        if len(buffered) > MAX_BUFFERED_BYTES:
-            await _pass_on(answer, sink, bytes(buffered), chunks)
-            return
-    if repeat_failures and answer.status >= 500:
-        raise AttemptError(
-            f"status {answer.status}",
-            step=STEP,
-            peer="",
-            outcome=AttemptOutcome.UNKNOWN,
-            status=answer.status,
-        )
-    await sink.start(answer.status, answer.headers, len(buffered))
-    await sink.write(bytes(buffered))
-    await sink.finish()
+    with (held_bytes or HeldBytes()).hold() as holding:
+        async for data in chunks:
+            buffered += data
+            too_much = holding.resize(len(buffered))
+            if too_much or len(buffered) > MAX_BUFFERED_BYTES:
+                await _pass_on(answer, sink, buffered, chunks)
+                return
+        if repeat_failures and answer.status >= 500:
+            raise AttemptError(
+                f"status {answer.status}",
+                step=STEP,
+                peer="",
+                outcome=AttemptOutcome.UNKNOWN,
+                status=answer.status,
+            )
+        await sink.start(answer.status, answer.headers, len(buffered))
+        await sink.write(bytes(buffered))
+        await sink.finish()
 
 
 async def _pass_on(
-    answer: Answer, sink: Sink, buffered: bytes, chunks: AsyncIterator[bytes]
+    answer: Answer, sink: Sink, buffered: bytearray, chunks: AsyncIterator[bytes]
 ) -> None:
     await sink.start(answer.status, answer.headers, None)
-    await sink.write(buffered)
+    # In pieces, as the sink holds what its caller doesn't read.
+    while buffered:
+        await sink.write(bytes(buffered[:PIECE_BYTES]))
+        del buffered[:PIECE_BYTES]
     async for data in chunks:
         await sink.write(data)
     await sink.finish()
@@ -94,12 +110,15 @@
     Only complete events are passed on, so that another backend server can resume the
     stream after any of them.
 
+    :param held_bytes: counts what all answers hold; long events break a stream off when
+        that is too much.
     :ivar began: whether the head was written to the caller.
     :ivar events: events passed on; duplicates after a resumption are left out.
     :ivar complete: whether the end of the stream was received.
     """
 
-    def __init__(self, call: Call, sink: Sink):
+    def __init__(self, call: Call, sink: Sink, held_bytes: HeldBytes | None = None):
+        self._held_bytes = held_bytes or HeldBytes()
         self._call = call
         self._sink = sink
         self._last_number: int | None = None
@@ -139,20 +158,23 @@
         chunks = aiter(answer.chunks())
         timeout_seconds = first_event_seconds
         progress_at = loop.time()
-        while True:
-            due_at = progress_at + timeout_seconds
-            data = await self._next_chunk(chunks, due_at, timeout_seconds)
-            if data is None:
-                break
-            received_at = loop.time()
-            events = _split(splitter, data)
-            count = sum(event.has_fields for event in events)
-            if count:
-                on_event(count)
-                timeout_seconds = self._idle_timeout()
-                progress_at = received_at
-            await self._pass_events_on(answer, events)
-            progress_at += loop.time() - received_at
+        with self._held_bytes.hold() as holding:
+            while True:
+                due_at = progress_at + timeout_seconds
+                data = await self._next_chunk(chunks, due_at, timeout_seconds)
+                if data is None:
+                    break
+                received_at = loop.time()
+                events = _split(splitter, data)
+                if holding.resize(len(splitter.incomplete)):
+                    raise _stream_error("an event is longer than memory allows")
+                count = sum(event.has_fields for event in events)
+                if count:
+                    on_event(count)
+                    timeout_seconds = self._idle_timeout()
+                    progress_at = received_at
+                await self._pass_events_on(answer, events)
+                progress_at += loop.time() - received_at
         if splitter.incomplete.strip():
             raise _stream_error(
                 "the stream ended within an event", reset=answer.ends_with_connection
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -24,6 +24,7 @@
 from bluebellshore.entry.crash_log import CrashLog
 from bluebellshore.entry.dispatch import Dispatcher
 from bluebellshore.entry.ejection_log import EjectionLog
+from bluebellshore.entry.held_bytes import HeldBytes
 from bluebellshore.entry.ingress import Ingress
 from bluebellshore.entry.metrics import EntryMetrics
 from bluebellshore.entry.metrics_port import MetricsPort
@@ -219,6 +220,7 @@
             make_retry_budget=self._make_retry_budget,
             max_routers=self._router_count,
             attempt_log=AttemptLog(self._loads, self._log, self._metrics),
+            held_bytes=HeldBytes(settings.memory_bytes),
         )
         self._ingress = Ingress(
             self._platform_state,
