--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -4,6 +4,8 @@
 import os
 from unittest import mock
 
+import aiohttp
+
 from bluebellshore.entry import router, stop_schedule
 from bluebellshore.load.fleet import wait_until
 from bluebellshore.platform.settings import SETTINGS_VARIABLE
@@ -140,6 +142,42 @@
         self.assertEqual({"/safe/a": (200, 1), "/stream/a": (503, 0)}, statuses)
         self.open_gates()
 
+    # Another operator's router passed late requests on and cut them at the end.
+    async def test_no_order_sent_late_in_a_stop_is_passed_on_and_cut(self):
+        instance, _ = await self.stop_with_a_stream()
+        # Runs end neither in the grace period nor by their deadline.
+        for runner in self.runners:
+            runner.gate.clear()
+        orders = []
+        while not self.stop.done() and len(orders) < 200:
+            for deadline_ms in (SHORT_DEADLINE_MS, LONG_DEADLINE_MS):
+                attempt = self.new_attempt_id()
+                headers = self.headers(attempt, deadline_ms=deadline_ms)
+                sent = asyncio.create_task(
+                    self.call(instance, "/unsafe/a", "POST", b"x", headers)
+                )
+                orders.append((attempt, deadline_ms, sent))
+            await asyncio.sleep(0.1)
+        outcomes = await asyncio.gather(
+            *(sent for _, _, sent in orders), return_exceptions=True
+        )
+        refused = answered = 0
+        for (attempt, deadline_ms, _), outcome in zip(orders, outcomes, strict=True):
+            runs = self.count_runs(attempt)
+            if isinstance(outcome, aiohttp.ClientError):
+                # The port is closed in the end, and what wasn't read with it.
+                self.assertEqual(runs, 0)
+                continue
+            status, _, _ = outcome
+            self.assertEqual(status, 504 if runs else 503)
+            if deadline_ms == LONG_DEADLINE_MS:
+                self.assertEqual(runs, 0)
+            refused += not runs
+            answered += runs
+        self.assertGreater(refused, 20)
+        self.assertGreater(answered, 10)
+        self.open_gates()
+
 
 class RemainingRequestTest(EntryTestCase):
     """Requests that are still served when the time of a stop is over."""
