--- a/bluebellshore/entry/crash_guard.py
+++ b/bluebellshore/entry/crash_guard.py
@@ -19,6 +19,8 @@
 #: Retry-After of a request that is refused because it crashes backend servers. The
 #: refusal itself lasts longer; this only keeps the caller from retrying at once.
 CRASH_RETRY_AFTER_SECONDS = 30.0
+#: The same while crashes are only likely: the servers' entries soon tell.
+LIKELY_CRASH_RETRY_AFTER_SECONDS = 5.0
 #: Events after which an answer has begun for certain.
 MIN_EVENTS = 2
 
@@ -48,8 +50,11 @@
         :raises OverloadError: backend servers crashed while they ran this request, or
             requests with the same prompt part.
         """
+        retry_after = CRASH_RETRY_AFTER_SECONDS
         if self._tracker and self._tracker.should_refuse(self._fingerprint, now):
             message, step = "backend servers crashed with this request", "crashes"
+            if not self._tracker.is_refused_for_certain(self._fingerprint):
+                retry_after = LIKELY_CRASH_RETRY_AFTER_SECONDS
         elif self._tracker.should_refuse_parts(self._parts, now):
             message, step = "backend servers crashed on a prompt part", "crashing_part"
         else:
@@ -57,7 +62,7 @@
         error = OverloadError(
             message,
             step=f"dispatch.{step}",
-            retry_after=CRASH_RETRY_AFTER_SECONDS,
+            retry_after=retry_after,
         )
         if may_have_run:
             error.status, error.run, error.retry_after = 502, RunState.UNKNOWN, None
--- a/bluebellshore/routing/crash_tracker.py
+++ b/bluebellshore/routing/crash_tracker.py
@@ -164,7 +164,7 @@
         """
         crash = self._find_or_add_crash(server_id, now)
         if listed is not None:
-            crash.listed = True
+            crash.listed, crash.address = True, listed.address
             crash.started_unix_ms = crash.started_unix_ms or listed.started_unix_ms
         crash.routers_differ |= bool(crash.parts_by_fingerprint.keys() - {fingerprint})
         if len(crash.own_fingerprints) < MAX_REPORTED:
@@ -212,11 +212,21 @@
         if store_lost:
             self._store_lost_at = now
             return []
+        if not self._unsettled:
+            return []
+        ids_by_address: dict[str, set[BackendServerId]] = {}
+        for server in servers_by_id.values():
+            ids_by_address.setdefault(server.address, set()).add(server.server_id)
         died = []
         for crash in self._unsettled:
             if crash.settled:
                 continue
-            outcome = self._outcome_of(crash, servers_by_id.get(crash.server_id), now)
+            server = servers_by_id.get(crash.server_id)
+            if ids_by_address.get(crash.address, set()) - {crash.server_id}:
+                # Its successor has registered, and its own entry has yet to lapse.
+                outcome = CrashOutcome.DIED
+            else:
+                outcome = self._outcome_of(crash, server, now)
             if outcome is CrashOutcome.DIED:
                 self._record_died(crash, now)
                 died.append(crash)
@@ -238,7 +248,7 @@
             # A server that crashed doesn't announce that it leaves.
             return CrashOutcome.LIVES
         else:
-            crash.listed = True
+            crash.listed, crash.address = True, server.address
             crash.started_unix_ms = server.started_unix_ms
         since = max(crash.began_at, self._store_lost_at)
         if now - since < self._settle_seconds:
@@ -271,6 +281,10 @@
         self._drop_old(now)
         return self._requests.is_refused(fingerprint, now)
 
+    def is_refused_for_certain(self, fingerprint: str) -> bool:
+        """Return whether servers' entries confirmed why a request is refused."""
+        return fingerprint in self._requests.refused
+
     def should_refuse_parts(self, parts: Sequence[ScopedPart], now: float) -> bool:
         """Return whether requests with these prompt parts must be refused."""
         return self._parts.is_refused(parts, now)
--- a/bluebellshore/routing/crashes.py
+++ b/bluebellshore/routing/crashes.py
@@ -14,7 +14,8 @@
 
     #: Its entry can still lapse or be renewed.
     UNDECIDED = "undecided"
-    #: Its entry is gone, or says that it has started again.
+    #: Its entry is gone, or says that it has started again, or another server has its
+    #: address.
     DIED = "died"
     #: It answered or renewed its entry, or it was leaving in any case.
     LIVES = "lives"
@@ -26,6 +27,7 @@
     :ivar number: the same for records of one crash.
     :ivar began_at: monotonic seconds at which connections broke.
     :ivar started_unix_ms: start of the server that may have crashed; 0 if unknown.
+    :ivar address: its address; empty if unknown.
     :ivar listed: whether its entry was seen here since.
     :ivar fingerprints: requests that ran during the crash and haven't completed since.
     :ivar sent_at_by_fingerprint: monotonic seconds at which each was last sent.
@@ -46,6 +48,7 @@
     server_id: BackendServerId
     began_at: float
     started_unix_ms: int = 0
+    address: str = ""
     listed: bool = False
     fingerprints: set[str] = msgspec.field(default_factory=set)
     sent_at_by_fingerprint: dict[str, float] = msgspec.field(default_factory=dict)
--- a/tests/test_routing_crashing_requests.py
+++ b/tests/test_routing_crashing_requests.py
@@ -86,8 +86,9 @@
         self.now = until
 
     def start_server(self) -> None:
-        name = f"s{next(self._numbers)}"
-        self.entries[name] = server(name, started_unix_ms=next(self._numbers))
+        number = next(self._numbers)
+        name = f"s{number}"
+        self.entries[name] = server(name, port=number, started_unix_ms=number)
         self.alive.add(name)
 
     def check(self) -> None:
@@ -249,6 +250,17 @@
             tracker.settle({name: after}, now + 1.2)
         self.assertTrue(tracker.should_refuse(DEADLY, 15.0))
 
+    def test_server_whose_address_another_has_counts_as_crashed(self):
+        tracker = CrashTracker()
+        for number, name in enumerate(("s1", "s2")):
+            now = 5.0 * number
+            before = server(name, port=number + 1)
+            tracker.record_broken_connection(name, DEADLY, now, listed=before)
+            # Back under another id, before the entry of its last life has lapsed.
+            after = server(f"{name}-again", port=number + 1)
+            tracker.settle({name: before, after.server_id: after}, now + 1.0)
+        self.assertTrue(tracker.should_refuse(DEADLY, 7.0))
+
     def test_connections_of_two_routers_that_break_make_a_crash_likely(self):
         trackers = [CrashTracker("r1"), CrashTracker("r2")]
         for number, name in enumerate(("s1", "s2")):
@@ -412,12 +424,14 @@
         for number in range(2):
             now = 10.0 * number
             tracker.record_broken_connection(
-                f"s{number}", "alone", now, listed=server(f"s{number}")
+                f"s{number}", "alone", now, listed=server(f"s{number}", port=number)
             )
             tracker.settle({}, now + 4.0, store_lost=True)
         self.assertFalse(tracker.should_refuse("alone", 15.0))
         # Their entries are back, as the servers live.
-        servers_by_id = {f"s{number}": server(f"s{number}") for number in range(2)}
+        servers_by_id = {
+            f"s{number}": server(f"s{number}", port=number) for number in range(2)
+        }
         tracker.settle(servers_by_id, 16.0)
         tracker.settle(servers_by_id, 30.0)
         # They leave later.
