--- a/bluebellshore/routing/crash_tracker.py
+++ b/bluebellshore/routing/crash_tracker.py
@@ -7,9 +7,9 @@
 :class:`bluebellshore.sidecar.quarantine.Quarantine` finds such requests.
 
 A router sees connections break, which is no crash yet: networks and overloaded servers
-reset connections too. Several that break at one server, at this router or at others, or
-a server that can't be reached make a crash likely. The server's entry decides: it goes
-or says that the server has started again, or it is renewed as before.
+reset connections too. Several of one router that break at one server, or a server that
+can't be reached, make a crash likely. The server's entry decides: it goes or says that
+the server has started again, or it is renewed as before.
 
 What follows for requests is decided by
 :class:`bluebellshore.routing.crashing_requests.CrashingRequests`. Requests that are
@@ -174,7 +174,8 @@
             found = tuple(parts[:MAX_PARTS])
             crash.parts_by_fingerprint[fingerprint] = found
             crash.own_parts_by_fingerprint[fingerprint] = found
-        crash.confirmed |= bool(crash.fingerprints - {fingerprint})
+        crash.confirming.add(fingerprint)
+        crash.confirmed |= len(crash.confirming) > 1
         # A probe that breaks is taken for a crash, as a second one costs more.
         crash.confirmed |= self._parts.is_blamed(parts)
         self._add_try(crash, fingerprint, now if sent_at is None else sent_at, now)
@@ -274,6 +275,8 @@
 
     def clear_request(self, fingerprint: str, now: float) -> None:
         """Clear a request of all crashes, as it has run to its end without one."""
+        for crash in self._crashes:
+            crash.confirming.discard(fingerprint)
         self._requests.record_answer(fingerprint, now)
 
     def should_refuse(self, fingerprint: str, now: float) -> bool:
@@ -359,13 +362,16 @@
                 report.server_id, broke_at, CRASH_CONFIRMATION_SECONDS
             )
             crash.started_unix_ms = crash.started_unix_ms or report.started_unix_ms
-            known = crash.fingerprints | crash.parts_by_fingerprint.keys()
-            crash.routers_differ |= bool(known - set(report.fingerprints))
-            crash.confirmed |= report.confirmed
+            known = crash.confirming | crash.parts_by_fingerprint.keys()
+            if report.confirmed:
+                crash.routers_differ |= bool(known - set(report.fingerprints))
+                crash.confirmed = True
+                left = MAX_REQUESTS_OF_CRASH - len(crash.confirming)
+                crash.confirming.update(report.fingerprints[: max(0, left)])
+            elif report.parts_by_fingerprint:
+                crash.routers_differ |= bool(known - report.parts_by_fingerprint.keys())
             for fingerprint in report.fingerprints[:MAX_REPORTED]:
                 sent_at = report.sent_at_by_fingerprint.get(fingerprint, broke_at)
-                # Connections of several routers that break are like those of one.
-                crash.confirmed |= bool(crash.fingerprints - {fingerprint})
                 self._add_try(crash, fingerprint, sent_at, now)
             for fingerprint, parts in report.parts_by_fingerprint.items():
                 crash.parts_by_fingerprint[fingerprint] = parts[:MAX_PARTS]
--- a/bluebellshore/routing/crashes.py
+++ b/bluebellshore/routing/crashes.py
@@ -30,6 +30,8 @@
     :ivar address: its address; empty if unknown.
     :ivar listed: whether its entry was seen here since.
     :ivar fingerprints: requests that ran during the crash and haven't completed since.
+    :ivar confirming: requests whose connections broke at this router, or at one that
+        took this for a crash.
     :ivar sent_at_by_fingerprint: monotonic seconds at which each was last sent.
     :ivar own_fingerprints: those of them that this router sent.
     :ivar parts_by_fingerprint: prompt parts of those whose answer had not begun, until
@@ -51,6 +53,7 @@
     address: str = ""
     listed: bool = False
     fingerprints: set[str] = msgspec.field(default_factory=set)
+    confirming: set[str] = msgspec.field(default_factory=set)
     sent_at_by_fingerprint: dict[str, float] = msgspec.field(default_factory=dict)
     own_fingerprints: set[str] = msgspec.field(default_factory=set)
     parts_by_fingerprint: dict[str, tuple[ScopedPart, ...]] = msgspec.field(
