Log a cancellation from within the router as such, and reopened connections

Cause: Ingress took each CancelledError outside of a stop for a caller that left, and each ConnectionError too. Change: a request counts as left by its caller only if the connection is closed; other cancellations are logged as 'cancelled within the router'. A connection to a peer that is opened again gets a line, and so does a background loop that ends by a cancellation of what it awaited.

--- a/bluebellshore/entry/background.py
+++ b/bluebellshore/entry/background.py
@@ -5,6 +5,7 @@
 
 import eliot
 
+from bluebellshore.cancellation import is_cancelling
 from bluebellshore.decisions import DecisionLog
 
 __all__ = ["keep_running"]
@@ -29,4 +30,8 @@
         except Exception as error:
             eliot.write_traceback()
             log.notice("loop", f"{type(error).__name__}: {error}", loop=name)
+        except asyncio.CancelledError:
+            if not is_cancelling():
+                log.notice("loop", "ended as what it awaited was cancelled", loop=name)
+            raise
         await asyncio.sleep(RESTART_SECONDS)
--- a/bluebellshore/entry/connections.py
+++ b/bluebellshore/entry/connections.py
@@ -61,6 +61,11 @@
         self._idle_since = self.opened_at
         self._next_head_began = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither end has closed the connection."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def request_began(self, body: StreamReader) -> None:
         """Stop the timeout of a head that was read completely.
 
--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -195,10 +195,15 @@
         except asyncio.CancelledError:
             if self._closing:
                 request_log.stopped(trace, sink.status, now())
-            else:
+            elif not request.protocol.is_open:
                 request_log.caller_left(trace, sink.status, now())
+            else:
+                request_log.cancelled(trace, sink.status, now())
             raise
-        except ConnectionError:
+        except ConnectionError as error:
+            if request.protocol.is_open:
+                request_log.internal_error(trace, error, now())
+                raise
             # The caller disconnected between two writes.
             request_log.caller_left(trace, sink.status, now())
             return sink.abort()
--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -568,6 +568,13 @@
         if peer.failures % FAILURES_TO_RECONNECT == 0:
             channel = self._channels.pop(peer.address, None)
             if channel is not None:
+                self._log.notice(
+                    "peer",
+                    "the connection is opened again",
+                    peer=peer.address,
+                    failure=peer.failure,
+                    failed_calls=peer.failures,
+                )
                 await channel.close()
 
     def _channel(self, address: str) -> grpc.aio.Channel:
--- a/bluebellshore/entry/request_log.py
+++ b/bluebellshore/entry/request_log.py
@@ -11,6 +11,9 @@
 
 #: Reason of a request that ends because the router stops.
 STOP_REASON = "the router stops"
+#: Reason of a request that ends though neither its caller, nor its deadline, nor a stop
+#: of the router ended it.
+CANCELLED_REASON = "cancelled within the router"
 
 #: After a logged pause, a pause of the same stream is logged if longer by this factor.
 LOGGED_PAUSE_GROWTH = 2.0
@@ -170,6 +173,13 @@
         if trace.call is not None:
             self._end(trace, status, Outcome.CUT, now, STOP_REASON)
 
+    def cancelled(self, trace: RequestTrace, status: int, now: float) -> None:
+        """Log a request that ended as something it awaited in this process did.
+
+        :param status: status sent to the caller; 0 for none.
+        """
+        self._end(trace, status, Outcome.CUT, now, CANCELLED_REASON)
+
     def internal_error(self, trace: RequestTrace, error: Exception, now: float) -> None:
         """Log a request that failed by an unexpected exception in this process."""
         reason = f"{type(error).__name__}: {error}"
