Close a connection to a peer only once no call uses it

Callers saw connections closed with neither an answer nor a refusal (LOST): requests that waited for tokens of another router while connections between routers were silent.

Cause: after two failed exchanges the router closed its channel to the peer. grpc.aio ends the calls on a closed channel by raising CancelledError in the tasks that await them: requests that waited for a loan, the call that asks for rows, a repayment, a round of exchanges. Nothing there expects it. Class of fault: a shared resource that is closed under its other users, and a cancellation that isn't the task's own.

Change: PeerChannels owns the channels. One that is replaced stays open until its last call has ended, each by its own timeout: the link may only be slow. Calls that the stop ends fail with LinkError. Ruled out: ending calls at once with LinkError, as two timeouts of an exchange don't show that a large answer on a slow link has stopped.

--- a/bluebellshore/entry/peers.py
+++ b/bluebellshore/entry/peers.py
@@ -27,6 +27,7 @@
 from bluebellshore.entry.evidence_rounds import EvidenceRounds
 from bluebellshore.entry.loans import Loan, LoanServer
 from bluebellshore.entry.message_values import is_count
+from bluebellshore.entry.peer_channels import CHANNEL_OPTIONS, PeerChannels
 from bluebellshore.entry.peer_selection import (
     EXCHANGE_INTERVAL_SECONDS,
     MAX_PEERS_PER_ROUND,
@@ -74,16 +75,6 @@
 #: Longest backoff between calls to a peer that does not answer.
 MAX_BACKOFF_SECONDS = 2.0
 
-CHANNEL_OPTIONS = (
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.enable_retries", 0),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
-    ("grpc.max_send_message_length", 16 * 1024 * 1024),
-)
-
 
 class Peer(msgspec.Struct):
     """Another router as known to this one.
@@ -91,7 +82,7 @@
     :param address: ``host:port`` at which the router takes calls of its peers.
     :param seen_at: monotonic seconds of the last call or answer from the peer.
     :param in_contact: whether the decision log last reported contact with the peer.
-    :param failure: status or exception of the last failed call.
+    :param failure: why the last failed call got no answer.
     :param failures: failed calls in a row.
     :param next_at: monotonic seconds before which the peer is not called.
     :param leaving: whether the peer is shutting down.
@@ -172,7 +163,7 @@
         self._evidence = EvidenceRounds(self._crashes)
         self._store_lost = store_lost
         self._server: grpc.aio.Server | None = None
-        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._channels = PeerChannels()
         self._recent_updates: deque[_UpdateRound] = deque(maxlen=MAX_KEPT_ROUNDS)
         self._round_number = 0
         #: Monotonic seconds since which a peer is known to have a newer configuration.
@@ -181,7 +172,6 @@
         self._asking: asyncio.Task | None = None
         self.peers_by_address: dict[str, Peer] = {}
         self.leaving = False
-        self._stopped = False
         #: Lends this router's tokens; None until the budgets exist.
         self.loan_server: LoanServer | None = None
         #: Source and receiver of reports on rollouts; None until it is set.
@@ -211,12 +201,10 @@
 
     async def stop(self) -> None:
         """Close all connections and stop listening; no peer is called any more."""
-        self._stopped = True
         if self._asking is not None:
             self._asking.cancel()
             await asyncio.gather(self._asking, return_exceptions=True)
-        for channel in self._channels.values():
-            await channel.close()
+        await self._channels.close()
         if self._server is not None:
             await self._server.stop(0)
 
@@ -416,10 +404,6 @@
         return pb.RepaymentReply()
 
     async def _call(self, incarnation: IncarnationId, method: str, request: object):
-        if self._stopped:
-            raise LinkError(
-                "the exchange has stopped", step=f"peers.{method}", peer=incarnation
-            )
         for peer in self.peers_by_address.values():
             if peer.incarnation == incarnation:
                 break
@@ -427,13 +411,9 @@
             raise LinkError(
                 "no peer has this incarnation", step=f"peers.{method}", peer=incarnation
             )
-        stub = peer_pb2_grpc.PeersStub(self._channel(peer.address))
-        try:
-            return await getattr(stub, method)(request, timeout=CALL_TIMEOUT_SECONDS)
-        except grpc.aio.AioRpcError as error:
-            raise LinkError(
-                error.code().name, step=f"peers.{method}", peer=peer.address
-            ) from error
+        return await self._channels.call(
+            peer.address, method, request, timeout_seconds=CALL_TIMEOUT_SECONDS
+        )
 
     def _state_for(self, peer: Peer | None) -> pb.PeerState:
         """Return this router's state, with the updates not yet sent to `peer`."""
@@ -502,12 +482,12 @@
             state.ClearField("configuration")
         elif not state.HasField("configuration"):
             state.configuration = 0
-        stub = peer_pb2_grpc.PeersStub(self._channel(peer.address))
         timeout_seconds = ASK_TIMEOUT_SECONDS if asks else CALL_TIMEOUT_SECONDS
         try:
-            async with asyncio.timeout(timeout_seconds):
-                reply = await stub.Exchange(state, timeout=timeout_seconds)
-        except (grpc.aio.AioRpcError, TimeoutError) as error:
+            reply = await self._channels.call(
+                peer.address, "Exchange", state, timeout_seconds=timeout_seconds
+            )
+        except LinkError as error:
             await self._record_failure(peer, error)
             return
         peer.failures = 0
@@ -559,30 +539,21 @@
                     alive=len(self.alive()),
                 )
 
-    async def _record_failure(self, peer: Peer, error: Exception) -> None:
+    async def _record_failure(self, peer: Peer, error: LinkError) -> None:
         peer.failures += 1
-        code = getattr(error, "code", lambda: None)()
-        peer.failure = code.name if code else type(error).__name__
+        peer.failure = error.message
         backoff = min(MAX_BACKOFF_SECONDS, EXCHANGE_INTERVAL_SECONDS * 2**peer.failures)
         peer.next_at = time.monotonic() + backoff * random.uniform(0.5, 1.0)
         if peer.failures % FAILURES_TO_RECONNECT == 0:
-            channel = self._channels.pop(peer.address, None)
-            if channel is not None:
-                self._log.notice(
-                    "peer",
-                    "the connection is opened again",
-                    peer=peer.address,
-                    failure=peer.failure,
-                    failed_calls=peer.failures,
-                )
-                await channel.close()
-
-    def _channel(self, address: str) -> grpc.aio.Channel:
-        if address not in self._channels:
-            self._channels[address] = grpc.aio.insecure_channel(
-                address, options=CHANNEL_OPTIONS
+            in_progress = await self._channels.replace(peer.address)
+            self._log.notice(
+                "peer",
+                "later calls open another connection",
+                peer=peer.address,
+                failure=peer.failure,
+                failed_calls=peer.failures,
+                calls_in_progress=in_progress,
             )
-        return self._channels[address]
 
 
 def _decode_load_report(state: pb.PeerState) -> LoadReport:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1033,6 +1033,24 @@
         "tests.test_entry_peers.ExchangeTest"
         ".test_configuration_is_copied_from_many_peers_at_once",
     ),
+    Mutant(
+        "channel-closed-under-calls",
+        "calls in progress on a channel that is replaced",
+        "bluebellshore/entry/peer_channels.py",
+        "        if channel.calls:\n            self",
+        "        if False:\n            self",
+        "tests.test_entry_silent_peers.SilentPeerTest"
+        ".test_failed_exchanges_end_the_call_that_asks_for_rows",
+    ),
+    Mutant(
+        "cancelled-with-the-channel",
+        "calls on a channel that the stop closes",
+        "bluebellshore/entry/peer_channels.py",
+        "            if is_cancelling():\n                raise\n",
+        "            raise\n",
+        "tests.test_entry_silent_peers.SilentPeerTest"
+        ".test_loan_is_cancelled_by_the_stop_of_the_exchange",
+    ),
     Mutant(
         "silent-connections-reused",
         "idle connections after a timeout",
--- a/tests/soak_mutants.py
+++ b/tests/soak_mutants.py
@@ -161,8 +161,8 @@
         "caller-resets",
         "callers that reset are no internal error",
         "bluebellshore/entry/ingress.py",
-        "except ConnectionError:",
-        "except ZeroDivisionError:",
+        "except ConnectionError as error:",
+        "except ZeroDivisionError as error:",
     ),
 )
 
