Answer a request that is cancelled from within the router

Callers saw a closed connection, with neither an answer nor a refusal, whenever something that their request awaited in the router was cancelled (LOST).

Cause: the ingress passed each CancelledError on to the server, which closes the connection; it is right only where the request's own task was cancelled, as its caller left or the router closes.

Change: a cancellation that nobody asked of the request's task ends it as an error: 503 with Retry-After if it was not sent, else 502, and a broken-off answer stays one. Its traceback is logged, and its line says what happened.

--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -5,14 +5,21 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from http import HTTPStatus
 
+import eliot
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 
+from bluebellshore.cancellation import is_cancelling
 from bluebellshore.entry.connections import CallerServer
 from bluebellshore.entry.intake import build_call
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.entry.relay import Sink
-from bluebellshore.entry.request_log import STOP_REASON, RequestLog, RequestTrace
+from bluebellshore.entry.request_log import (
+    CANCELLED_REASON,
+    STOP_REASON,
+    RequestLog,
+    RequestTrace,
+)
 from bluebellshore.entry.stop_schedule import StopSchedule
 from bluebellshore.errors import OverloadError, RefusedError, RequestError, RunState
 from bluebellshore.fleet import Call, IngressLimits
@@ -37,6 +44,10 @@
 #: Deadline of requests that state none.
 DEFAULT_DEADLINE_SECONDS = 60.0
 STOP_STEP = "ingress.stop"
+CANCELLED_STEP = "ingress.cancelled"
+#: Retry-After of a request that ended as something it awaited was cancelled: that is
+#: over at once, but may happen to many requests together.
+CANCELLED_RETRY_SECONDS = 0.1
 
 
 class Ingress:
@@ -217,7 +228,8 @@
     async def _limit(self, trace: RequestTrace) -> AsyncIterator[None]:
         """Run a request until the router ends it.
 
-        :raises RefusedError: the router stopped before the request ended.
+        :raises RefusedError: the router stopped before the request ended, or something
+            that the request awaited was cancelled, and not the request itself.
         """
         limit = asyncio.timeout(None)
         try:
@@ -228,6 +240,18 @@
             if not limit.expired():
                 raise
             raise self._stop_error(sent=trace.sent) from error
+        except asyncio.CancelledError as error:
+            if is_cancelling():
+                raise
+            eliot.write_traceback()
+            if self._closing:
+                raise self._stop_error(sent=trace.sent) from error
+            raise _end_error(
+                CANCELLED_REASON,
+                CANCELLED_STEP,
+                sent=trace.sent,
+                retry_after=CANCELLED_RETRY_SECONDS,
+            ) from error
         finally:
             self._traces_by_limit.pop(limit, None)
 
@@ -236,14 +260,8 @@
 
         :param sent: whether a backend server may run or have run the request.
         """
-        message = STOP_REASON
-        if sent:
-            status = HTTPStatus.BAD_GATEWAY.value
-            return RefusedError(
-                message, step=STOP_STEP, status=status, run=RunState.UNKNOWN
-            )
         retry_after = self.stop_schedule.retry_after(others_serve=self._others_serve())
-        return OverloadError(message, step=STOP_STEP, retry_after=retry_after)
+        return _end_error(STOP_REASON, STOP_STEP, sent=sent, retry_after=retry_after)
 
     async def _forward(
         self, request: web.BaseRequest, sink: "_HttpSink", trace: RequestTrace
@@ -339,6 +357,20 @@
         return response
 
 
+def _end_error(
+    reason: str, step: str, *, sent: bool, retry_after: float
+) -> RefusedError:
+    """Return the caller's error for a request that the router ends.
+
+    :param sent: whether a backend server may run or have run the request.
+    :param retry_after: seconds after which a request that did not run may come again.
+    """
+    if sent:
+        status = HTTPStatus.BAD_GATEWAY.value
+        return RefusedError(reason, step=step, status=status, run=RunState.UNKNOWN)
+    return OverloadError(reason, step=step, retry_after=retry_after)
+
+
 def _head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's target and header lines."""
     lines = (len(name) + len(value) for name, value in request.raw_headers)
--- a/bluebellshore/entry/request_log.py
+++ b/bluebellshore/entry/request_log.py
@@ -7,7 +7,7 @@
 from bluebellshore.errors import BluebellshoreError, RefusedError, RunState
 from bluebellshore.fleet import Call, RouteKind
 
-__all__ = ["STOP_REASON", "RequestLog", "RequestTrace"]
+__all__ = ["CANCELLED_REASON", "STOP_REASON", "RequestLog", "RequestTrace"]
 
 #: Reason of a request that ends because the router stops.
 STOP_REASON = "the router stops"
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1051,6 +1051,15 @@
         "tests.test_entry_silent_peers.SilentPeerTest"
         ".test_loan_is_cancelled_by_the_stop_of_the_exchange",
     ),
+    Mutant(
+        "cancelled-without-an-answer",
+        "answer to a request that is cancelled from within",
+        "bluebellshore/entry/ingress.py",
+        "            if is_cancelling():\n                raise\n",
+        "            raise\n",
+        "tests.test_entry_cancelled_requests.CancelledRequestTest"
+        ".test_request_that_was_not_sent_is_closed_without_an_answer",
+    ),
     Mutant(
         "silent-connections-reused",
         "idle connections after a timeout",
