Run a background loop again that a cancellation from within ended

Callers could be served for the rest of a router's life with what it knew of its peers, the store or budgets at some moment, without a line in the log.

Cause: keep_running starts a loop again after an Exception only; a cancellation of something that the loop awaits (a round of exchanges whose channel was closed) ended it for good.

Change: a cancellation that isn't the loop's own counts as a failure, with its traceback and line. Test: BackgroundTest.test_cancellation_of_what_a_loop_ awaits_ends_it_for_good, which fails before (CancelledError) and passes.

--- a/bluebellshore/entry/background.py
+++ b/bluebellshore/entry/background.py
@@ -19,7 +19,8 @@
 ) -> None:
     """Run a loop again whenever it fails, until it ends or is cancelled.
 
-    A router whose loop had ended would go on serving with what it knew then.
+    A router whose loop had ended would go on serving with what it knew then. A loop
+    also fails if something that it awaits is cancelled, and not the loop itself.
 
     :param name: name of the loop for the log, from a fixed set.
     """
@@ -31,7 +32,8 @@
             eliot.write_traceback()
             log.notice("loop", f"{type(error).__name__}: {error}", loop=name)
         except asyncio.CancelledError:
-            if not is_cancelling():
-                log.notice("loop", "ended as what it awaited was cancelled", loop=name)
-            raise
+            if is_cancelling():
+                raise
+            eliot.write_traceback()
+            log.notice("loop", "what it awaited was cancelled", loop=name)
         await asyncio.sleep(RESTART_SECONDS)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -988,6 +988,15 @@
         "        except OSError as error:\n",
         "tests.test_entry_background.BackgroundTest.test_loop_that_fails_ends_for_good",
     ),
+    Mutant(
+        "loop-cancelled-for-good",
+        "background loops that run again after a cancellation of what they await",
+        "bluebellshore/entry/background.py",
+        "            if is_cancelling():\n                raise\n",
+        "            raise\n",
+        "tests.test_entry_background.BackgroundTest"
+        ".test_cancellation_of_what_a_loop_awaits_ends_it_for_good",
+    ),
     Mutant(
         "answer-without-id-taken",
         "whose answer it is on a connection that carried another request",
--- a/tests/test_entry_background.py
+++ b/tests/test_entry_background.py
@@ -28,6 +28,20 @@
         await background.keep_running("watch", loop, silent_log())
         self.assertEqual([0, 1, 2], runs)
 
+    async def test_cancellation_of_what_a_loop_awaits_ends_it_for_good(self):
+        self.enterContext(mock.patch.object(background, "RESTART_SECONDS", 0))
+        runs = []
+
+        async def loop():
+            runs.append(len(runs))
+            if len(runs) < 3:
+                future = asyncio.get_running_loop().create_future()
+                future.cancel()
+                await future
+
+        await background.keep_running("peers", loop, silent_log())
+        self.assertEqual([0, 1, 2], runs)
+
     async def test_cancelled_loop_runs_again(self):
         started = asyncio.Event()
 
