Go on with the other writes after a transaction of a group failed

When a transaction failed by another error than a PlatformError, it ended, and writes that had come meanwhile were sent only with the next write: a claim was refused after 5 s, a release or a recorded outcome waited for as long as the router was quiet. When the transaction was cancelled, each writer got that CancelledError, so that its request ended without an answer as if its caller had left, and a release or a recorded outcome ended for good.

Change: the flusher hands an unexpected error to the writers of that transaction and goes on. A cancelled transaction is unavailable to its writers, who then read the row and try again.

--- a/bluebellshore/duties/group_commit.py
+++ b/bluebellshore/duties/group_commit.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from bluebellshore.errors import PlatformError, TransactionConflictError
+from bluebellshore.cancellation import is_cancelling
+from bluebellshore.errors import PlatformUnavailableError, TransactionConflictError
 from bluebellshore.store.interface import (
     MAX_TRANSACTION_WRITES,
     TableService,
@@ -90,18 +91,26 @@
                 conflicting = [p for p in writes if p.write.key in error.keys]
                 self._fail_writes(conflicting or writes, error)
                 writes = [p for p in writes if not p.future.done()]
-            except BaseException as error:
+            except asyncio.CancelledError as error:
+                # The writers are not cancelled, so they must not get this error.
+                unavailable = PlatformUnavailableError(
+                    "the transaction was cancelled", step="group_commit"
+                )
+                unavailable.__cause__ = error
+                self._fail_writes(writes, unavailable)
+                if is_cancelling():
+                    raise
+                return
+            except Exception as error:
                 self._fail_writes(writes, error)
-                if isinstance(error, PlatformError):
-                    return
-                raise
+                return
             else:
                 for pending in writes:
                     if not pending.future.done():
                         pending.future.set_result(versions[pending.write.key])
                 return
 
-    def _fail_writes(self, writes: list[_PendingWrite], error: BaseException) -> None:
+    def _fail_writes(self, writes: list[_PendingWrite], error: Exception) -> None:
         for pending in writes:
             if not pending.future.done():
                 pending.future.set_exception(error)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -15,8 +15,10 @@
     LeaseManager,
     StoredAnswer,
 )
+from bluebellshore.duties.group_commit import GroupCommit
 from bluebellshore.errors import (
     OverloadError,
+    PlatformUnavailableError,
     RefusedError,
     RunState,
     TransactionConflictError,
@@ -194,6 +196,50 @@
     )
 
 
+class FailingTable(MemoryTable):
+    """Table whose first transaction fails with `error` once it is let go on."""
+
+    def __init__(self, error: BaseException):
+        super().__init__()
+        self.error: BaseException | None = error
+        self.began, self.go_on = asyncio.Event(), asyncio.Event()
+
+    async def transact(self, writes):
+        error, self.error = self.error, None
+        if error is not None:
+            self.began.set()
+            await self.go_on.wait()
+            raise error
+        return await super().transact(writes)
+
+
+class GroupCommitTest(unittest.IsolatedAsyncioTestCase):
+    async def write_while_one_fails(self, error):
+        """Return the results of a write that fails and of one that came meanwhile."""
+        table = FailingTable(error)
+        group_commit = GroupCommit(table)
+        writes = [Write("claim/a", ABSENT, b"{}"), Write("claim/b", ABSENT, b"{}")]
+        first = asyncio.create_task(group_commit.write(writes[0]))
+        await table.began.wait()
+        second = asyncio.create_task(group_commit.write(writes[1]))
+        await asyncio.sleep(0)
+        table.go_on.set()
+        async with asyncio.timeout(10.0):
+            return await asyncio.gather(first, second, return_exceptions=True)
+
+    async def test_write_beside_one_that_fails_waits_for_ever(self):
+        # It was sent only with the next write, for which a quiet router waits long.
+        failed, version = await self.write_while_one_fails(KeyError("odd"))
+        self.assertIsInstance(failed, KeyError)
+        self.assertGreater(version, ABSENT)
+
+    async def test_cancelled_transaction_cancels_the_writers(self):
+        # Their requests ended without an answer, as if their callers had left.
+        failed, version = await self.write_while_one_fails(asyncio.CancelledError())
+        self.assertIsInstance(failed, PlatformUnavailableError)
+        self.assertGreater(version, ABSENT)
+
+
 class JobTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.table = MemoryTable()
