Run a group of loops again when one ends by a cancelled call

If a call that a loop awaited was cancelled by someone else, the task group went on without that loop and without a line in the log: the router followed one table of the store no more (and counted the store as lost), or judged rollouts no more, or wrote their records no more. keep_running never learnt of it, as the group itself went on.

Change: run_together fails when one of its loops ends by the cancellation of what it awaited, so that keep_running logs it and runs all of them again. The watch and the rollouts use it; these were the task groups of the roles.

--- a/bluebellshore/cancellation.py
+++ b/bluebellshore/cancellation.py
@@ -1,8 +1,11 @@
 """Tells the cancellation of a task from that of something it awaits."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
-__all__ = ["is_cancelling"]
+from bluebellshore.errors import LinkError
+
+__all__ = ["is_cancelling", "run_together"]
 
 
 def is_cancelling() -> bool:
@@ -13,3 +16,25 @@
     """
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
+
+
+async def run_together(*loops: Callable[[], Awaitable[None]]) -> None:
+    """Run loops until all have ended, or one fails and the others are cancelled.
+
+    A task group alone goes on without a task that ends by the cancellation of what it
+    awaits.
+
+    :raises ExceptionGroup: a loop failed, or ended by such a cancellation.
+    """
+    async with asyncio.TaskGroup() as group:
+        for loop in loops:
+            group.create_task(_fail_when_cancelled_inside(loop))
+
+
+async def _fail_when_cancelled_inside(loop: Callable[[], Awaitable[None]]) -> None:
+    try:
+        await loop()
+    except asyncio.CancelledError as error:
+        if is_cancelling():
+            raise
+        raise LinkError("what the loop awaited was cancelled", step="loop") from error
--- a/bluebellshore/entry/rollouts.py
+++ b/bluebellshore/entry/rollouts.py
@@ -12,6 +12,7 @@
 import eliot
 import xxhash
 
+from bluebellshore.cancellation import run_together
 from bluebellshore.entry.platform_state import PlatformState
 from bluebellshore.errors import PlatformError, TransactionConflictError
 from bluebellshore.fleet import BackendServer, Call
@@ -261,9 +262,7 @@
 
     async def run(self) -> None:
         """Judge orders and keep their records in the store until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._run_ticks())
-            group.create_task(self._run_store())
+        await run_together(self._run_ticks, self._run_store)
 
     async def sync_records(self) -> None:
         """Read and write the records in the store that are due."""
--- a/bluebellshore/entry/watch.py
+++ b/bluebellshore/entry/watch.py
@@ -1,10 +1,12 @@
 """Watches the platform's tables, and keeps a router's copy of them up to date."""
 
 import asyncio
+import functools
 import math
 import random
 import time
 
+from bluebellshore.cancellation import run_together
 from bluebellshore.decisions import Contact, DecisionLog, silent_log
 from bluebellshore.entry.platform_state import WATCHED_TABLES, PlatformState
 from bluebellshore.errors import HistoryLostError, PlatformError
@@ -59,9 +61,9 @@
     async def run(self) -> None:
         """Watch all tables until cancelled."""
         self._started_at = time.monotonic()
-        async with asyncio.TaskGroup() as group:
-            for table in WATCHED_TABLES:
-                group.create_task(self._watch_table(table))
+        await run_together(
+            *(functools.partial(self._watch_table, table) for table in WATCHED_TABLES)
+        )
 
     async def _watch_table(self, table: str) -> None:
         while True:
--- a/tests/test_entry_background.py
+++ b/tests/test_entry_background.py
@@ -1,15 +1,20 @@
 """Tests that an entry router goes on to follow the store and its peers after errors."""
 
 import asyncio
+import itertools
 import json
 import unittest
 from unittest import mock
 
 from bluebellshore.decisions import silent_log
 from bluebellshore.entry import background
+from bluebellshore.entry.platform_state import PlatformState
+from bluebellshore.entry.watch import StoreWatch
 from bluebellshore.load.fleet import wait_until
 from bluebellshore.standin.operator import StandinRoute
+from bluebellshore.store.memory import MemoryTable
 from tests.entry_system import ROUTES, EntryTestCase
+from tests.test_entry_rollouts import Fleet
 from tests.test_platform_decoding import DEEPLY_NESTED, ServerTest
 
 NEW_ROUTE = StandinRoute("/new/", "safe", "plain")
@@ -56,6 +61,37 @@
             await task
 
 
+class CancelledCallTest(unittest.IsolatedAsyncioTestCase):
+    def run_kept(self, loop):
+        task = asyncio.create_task(background.keep_running("a", loop, silent_log()))
+        self.addAsyncCleanup(asyncio.wait, [task])
+        self.addCleanup(task.cancel)
+
+    async def test_table_is_not_followed_after_a_cancelled_call(self):
+        # The task group went on without the task that the error ended.
+        table = MemoryTable()
+        snapshot, asked = table.snapshot, []
+
+        async def cancelled_at_first(name):
+            asked.append(name)
+            if len(asked) == 1:
+                raise asyncio.CancelledError
+            return await snapshot(name)
+
+        table.snapshot = cancelled_at_first
+        watch = StoreWatch(table, PlatformState(2.0))
+        self.run_kept(watch.run)
+        await wait_until(lambda: not watch.lost, "a snapshot of each table")
+
+    async def test_rollout_records_are_not_kept_after_a_cancelled_call(self):
+        rollouts = Fleet(1).routers[0]
+        results = [asyncio.CancelledError(), None]
+        sync = mock.AsyncMock(side_effect=itertools.chain(results, itertools.repeat(0)))
+        self.enterContext(mock.patch.object(rollouts, "sync_records", sync))
+        self.run_kept(rollouts.run)
+        await wait_until(lambda: sync.await_count >= 3, "calls for the records")
+
+
 class OddEntryTest(EntryTestCase):
     async def assert_followed_after(self, key: str, value: bytes):
         instance = await self.start_system()
