Refuse a call that was cancelled within a router with sidecars

If what a call awaited was cancelled by another task of the router (a closed channel or session, a shared task), aiohttp closed the connection: its caller got neither an answer nor a refusal, a stream ended without its error event, and nothing was logged or counted.

Change: such a call gets the refusal of any other internal error (500, may have run) with a traceback in the log, and a stream gets its error event. A call whose own task is cancelled, as its caller left, ends as before.

--- a/bluebellshore/router/http.py
+++ b/bluebellshore/router/http.py
@@ -12,6 +12,7 @@
 
 from bluebellshore.bundle.keeper import BundleKeeper
 from bluebellshore.bundle.model import Bundle, RouteKind
+from bluebellshore.cancellation import is_cancelling
 from bluebellshore.duties.jobs import Jobs, JobState
 from bluebellshore.errors import (
     BackendServerError,
@@ -382,7 +383,9 @@
             await response.write(error_event(_incomplete_answer_error(error)))
         except ConnectionError:
             raise
-        except Exception:
+        except (Exception, asyncio.CancelledError):
+            if is_cancelling():
+                raise
             eliot.write_traceback()
             self._increment("answers.cut")
             failed = BackendServerError("internal error", step="relay")
@@ -439,7 +442,10 @@
         except ConnectionError:
             # The caller disconnected.
             raise
-        except Exception:
+        except (Exception, asyncio.CancelledError):
+            if is_cancelling():
+                # The caller disconnected, or the router ends.
+                raise
             eliot.write_traceback()
             self._increment("errors")
             return problem_response(
--- a/tests/test_router_http.py
+++ b/tests/test_router_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import unittest
+from unittest import mock
 
 import msgspec
 from hypothesis import HealthCheck, example, given, settings
@@ -113,7 +114,20 @@
         return {}
 
 
-class CallerPortPropertyTest(unittest.TestCase):
+class CancelledAnswer:
+    """Answer whose source is cancelled by another task after its first part."""
+
+    status, headers = 200, ()
+
+    async def __aiter__(self):
+        yield b"data: 1\n\n"
+        raise asyncio.CancelledError
+
+    def close(self):
+        pass
+
+
+class CallerPortTestCase(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
@@ -138,7 +152,7 @@
 
         :param half_close: close the sending side afterwards, which cancels a request in
             progress.
-        :return: the status of the response, 0 if there was none.
+        :return: the response; empty if there was none.
         """
         host, port = self.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -147,16 +161,21 @@
             writer.write_eof()
         answer = await reader.read()
         writer.close()
-        return int(answer.split(b" ", 2)[1]) if answer else 0
+        return answer
 
-    def check_request(self, method, path, headers, body):
+    def request(self, method, path, headers, body):
         if not isinstance(body, bytes):
             body = msgspec.json.encode(body) if is_encodable(body) else b"{}"
         lines = [f"{method} {path} HTTP/1.1", "Host: x", "Connection: close"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         lines += [f"Content-Length: {len(body)}", "", ""]
         data = "\r\n".join(lines).encode("latin-1") + body
-        status = self.runner.run(self.exchange(data, half_close=False))
+        return self.runner.run(self.exchange(data, half_close=False))
+
+
+class CallerPortPropertyTest(CallerPortTestCase):
+    def check_request(self, method, path, headers, body):
+        status = status_of(self.request(method, path, headers, body))
         self.assertTrue(status in (200, 202) or 400 <= status < 500, status)
         return status
 
@@ -175,7 +194,8 @@
     @PROPERTY
     @given(st.binary(max_size=60))
     def test_any_bytes(self, data):
-        status = self.runner.run(self.exchange(data + b"\r\n\r\n", half_close=True))
+        answer = self.runner.run(self.exchange(data + b"\r\n\r\n", half_close=True))
+        status = status_of(answer)
         self.assertTrue(status == 0 or 400 <= status < 500, status)
 
     def test_good_request_passes(self):
@@ -186,6 +206,34 @@
         )
 
 
+class CancelledCallTest(CallerPortTestCase):
+    def answer(self, result, **options):
+        opened = mock.AsyncMock(side_effect=[result])
+        self.enterContext(mock.patch.object(FakeDispatcher, "open", opened))
+        message = {"role": "user", "content": "x"}
+        body = {"model": CHAT, "messages": [message]} | options
+        headers = {"Authorization": BEARER}
+        return self.request("POST", "/v1/chat/completions", headers, body)
+
+    def test_cancelled_call_is_neither_answered_nor_refused(self):
+        # It was taken for a caller that left, and the connection was closed.
+        self.assertEqual(500, status_of(self.answer(asyncio.CancelledError())))
+
+    def test_cancelled_answer_is_closed_without_a_response(self):
+        self.assertEqual(500, status_of(self.answer(CancelledAnswer())))
+
+    def test_cancelled_stream_is_cut_without_an_error(self):
+        answer = self.answer(CancelledAnswer(), stream=True)
+        self.assertEqual(200, status_of(answer))
+        self.assertIn(b"data: 1", answer)
+        self.assertIn(b"internal error", answer)
+
+
+def status_of(answer):
+    """Return the status of a response, 0 if it is empty."""
+    return int(answer.split(b" ", 2)[1]) if answer else 0
+
+
 def is_encodable(value):
     """Return whether `value` can be encoded as JSON."""
     try:
