Don't take a claim whose release failed for a released one

A call that runs at most once and that its sidecar refused without running it is claimed anew after its claim was released. The write of the release runs as a task of its own, and a task that ended by an error or a cancellation counted as a completed write, without a line in the log. The call then found its own claim, and its caller was told that it may have run (409), which it had not.

Change: a write that ended by an error or a cancellation is not completed, and is logged. The caller gets the refusal of the sidecar.

--- a/bluebellshore/router/dispatch.py
+++ b/bluebellshore/router/dispatch.py
@@ -341,13 +341,19 @@
         The write continues in the background for as long as the store is unavailable.
         The caller need not wait for it: until it completes, a retry finds the claim.
 
-        :return: whether the write has completed.
+        :return: whether the write has completed without an error.
         """
         task = asyncio.ensure_future(write)
         self._pending_writes.add(task)
-        task.add_done_callback(self._pending_writes.discard)
+        task.add_done_callback(self._end_write)
         done, _ = await asyncio.wait({task}, timeout=MAX_RECORD_WAIT_SECONDS)
-        return bool(done)
+        return bool(done) and _failure_of(task) is None
+
+    def _end_write(self, task: asyncio.Task) -> None:
+        self._pending_writes.discard(task)
+        failure = _failure_of(task)
+        if failure is not None:
+            eliot.log_message("outcome_not_recorded", reason=failure)
 
     async def stop(self) -> None:
         """Wait up to :data:`MAX_STOP_WAIT_SECONDS` for outcomes to be recorded."""
@@ -457,6 +463,14 @@
         )
 
 
+def _failure_of(task: asyncio.Task) -> str | None:
+    """Return why a task that has ended failed; None if it didn't."""
+    if task.cancelled():
+        return "cancelled"
+    error = task.exception()
+    return None if error is None else f"{type(error).__name__}: {error}"
+
+
 def make_router_key(
     customer: str, incarnation: IncarnationId, number: int
 ) -> RequestKey:
