Go on with a router's background work after a cancelled or failed step

The router then went on with what it knew, or left the instance list after its entry lapsed.

Accounting ended by any error of its loop, such as a budget's row that can't be read: each request that needed new tokens of any budget was then refused with "the table service is slow" until a restart.

Change: a failed step is logged and the loop goes on, unless its own task is cancelled.

--- a/bluebellshore/membership.py
+++ b/bluebellshore/membership.py
@@ -5,6 +5,7 @@
 
 import eliot
 
+from bluebellshore.cancellation import is_cancelling
 from bluebellshore.errors import PlatformError
 from bluebellshore.ids import InstanceId, ZoneName
 from bluebellshore.settings import RoleSettings
@@ -63,5 +64,10 @@
     async def run(self) -> None:
         """Write the entry every ``announce_seconds`` until cancelled."""
         while True:
-            await self.announce()
+            try:
+                await self.announce()
+            except (Exception, asyncio.CancelledError):
+                if is_cancelling():
+                    raise
+                eliot.write_traceback()
             await asyncio.sleep(self._settings.announce_seconds)
--- a/bluebellshore/router/incarnation.py
+++ b/bluebellshore/router/incarnation.py
@@ -16,6 +16,7 @@
 from bluebellshore.bundle.keeper import BundleKeeper
 from bluebellshore.bundle.model import Bundle
 from bluebellshore.bundle.signing import Verifier
+from bluebellshore.cancellation import is_cancelling
 from bluebellshore.duties.claims import Claims
 from bluebellshore.duties.jobs import Jobs
 from bluebellshore.errors import BluebellshoreError
@@ -57,6 +58,8 @@
 READY_TIMEOUT_SECONDS = 3.0
 READY_POLL_SECONDS = 0.02
 GAUGE_INTERVAL_SECONDS = 1.0
+#: Pause before accounting goes on after an error.
+ACCOUNTING_RETRY_SECONDS = 0.5
 
 
 class RouterIncarnation:
@@ -311,7 +314,9 @@
 
     async def _run_accountant(self) -> None:
         await self._accountant.open(InstanceId(self.settings.instance_id))
-        await self._accountant.run()
+        # An unreadable row must not end accounting.
+        while not await self._run_step(self._accountant.run):
+            await asyncio.sleep(ACCOUNTING_RETRY_SECONDS)
         if self._accountant.fenced:
             eliot.log_message("fenced", incarnation=self.incarnation)
             self.fenced.set()
@@ -320,16 +325,28 @@
         self, step: Callable[[], Awaitable[None]], seconds: float
     ):
         while True:
-            try:
-                await step()
-            except BluebellshoreError as error:
-                eliot.log_message(
-                    "step_failed", step=error.step, peer=error.peer, reason=str(error)
-                )
-            except Exception:
-                eliot.write_traceback()
+            await self._run_step(step)
             await asyncio.sleep(seconds * random.uniform(0.9, 1.1))
 
+    async def _run_step(self, step: Callable[[], Awaitable[None]]) -> bool:
+        """Run a step of a background loop, and log its failure.
+
+        :return: whether the step succeeded.
+        """
+        try:
+            await step()
+        except BluebellshoreError as error:
+            eliot.log_message(
+                "step_failed", step=error.step, peer=error.peer, reason=str(error)
+            )
+            return False
+        except (Exception, asyncio.CancelledError):
+            if is_cancelling():
+                raise
+            eliot.write_traceback()
+            return False
+        return True
+
     async def _poll_instances(self) -> None:
         listed_by_address = {
             instance.address: instance
