Don't count attempts that the router ended as left by their callers

attempts_total said result="left" for each attempt that the router ended: also when the request's deadline passed at a silent server, when the router stopped, and on an unexpected exception. In the test the caller waits until the deadline and gets 504.

Cause: an attempt starts with the result that stands for a caller that left, and keeps it unless the backend server answers or fails; the dispatcher can't tell who cancelled it. Change: the result is named 'abandoned', and its meanings are listed. Load tracking, outlier detection and rollouts take it as before. The test of a caller that leaves a stream expects the new label; that the caller left is still checked by its 'ended' line.

--- a/bluebellshore/emulator/router.py
+++ b/bluebellshore/emulator/router.py
@@ -134,7 +134,7 @@
         request.over = True
         self._queue(request).withdraw(call)
         if request.ticket is not None:
-            self._end(request, AttemptResult.CALLER_LEFT)
+            self._end(request, AttemptResult.ABANDONED)
             server_id, run = request.server.server_id, request.run
             self._clock.after(
                 self._travel(request.server),
--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -218,7 +218,7 @@
             future = waiting.future
             if future.done() and not future.cancelled() and not future.exception():
                 self._loads.end(
-                    future.result().ticket, AttemptResult.CALLER_LEFT, loop.time()
+                    future.result().ticket, AttemptResult.ABANDONED, loop.time()
                 )
             raise
         finally:
--- a/bluebellshore/entry/dispatch.py
+++ b/bluebellshore/entry/dispatch.py
@@ -317,7 +317,7 @@
         """
         loop = asyncio.get_running_loop()
         server, ticket = admitted.place.server, admitted.ticket
-        result, first_event_seconds = AttemptResult.CALLER_LEFT, 0.0
+        result, first_event_seconds = AttemptResult.ABANDONED, 0.0
         if self._rollouts is not None:
             progress.attempt = self._rollouts.begin_attempt(call, server, loop.time())
         try:
@@ -344,7 +344,7 @@
         finally:
             now = loop.time()
             self._attempt_log.ended(result.value)
-            if result is not AttemptResult.CALLER_LEFT:
+            if result is not AttemptResult.ABANDONED:
                 first_event_seconds = self._loads.record_first_event(ticket, now)
             self._loads.end(ticket, result, now, self._output_tokens(call, progress))
             self._outliers.record_result(
@@ -354,7 +354,7 @@
                 self._rollouts.end_attempt(
                     server.service, progress.attempt, result, now
                 )
-            if result is AttemptResult.CALLER_LEFT:
+            if result is AttemptResult.ABANDONED:
                 progress.may_have_run = True
 
     def _output_tokens(self, call: Call, progress: _CallProgress) -> int:
--- a/bluebellshore/experiments/rollouts.py
+++ b/bluebellshore/experiments/rollouts.py
@@ -259,13 +259,13 @@
         server = self.rng.choice(found)
         self._count(server)
         attempt = router.rollouts.begin_attempt(call, server, self.now())
-        result = AttemptResult.CALLER_LEFT
+        result = AttemptResult.ABANDONED
         with self._works(call, server):
             try:
                 async with asyncio.timeout(leave_seconds):
                     result = await self._answer(server, route, attempt)
             except TimeoutError:
-                result = AttemptResult.CALLER_LEFT
+                result = AttemptResult.ABANDONED
             finally:
                 router.rollouts.end_attempt(SERVICE, attempt, result, self.now())
 
--- a/bluebellshore/rollouts/attempt.py
+++ b/bluebellshore/rollouts/attempt.py
@@ -23,12 +23,12 @@
 #: prefix caches of its servers are cold, those of the other versions are warm.
 COLD_CACHE_FACTOR = 1.6
 #: Results that say nothing about a version: the server was full, gone or crashed, or
-#: the caller left.
+#: the router ended the attempt.
 _UNINFORMATIVE_RESULTS = (
     AttemptResult.REFUSED,
     AttemptResult.UNREACHABLE,
     AttemptResult.BROKEN,
-    AttemptResult.CALLER_LEFT,
+    AttemptResult.ABANDONED,
 )
 
 
--- a/bluebellshore/routing/load.py
+++ b/bluebellshore/routing/load.py
@@ -250,7 +250,7 @@
                 )
                 part = CachedPart(attempt.server_id, part_id, tokens + output_tokens)
                 self._unreported_parts.append(part)
-        elif result is not AttemptResult.CALLER_LEFT and not self._had_event(
+        elif result is not AttemptResult.ABANDONED and not self._had_event(
             attempt, now
         ):
             self._discard_unread_parts(attempt)
@@ -261,9 +261,9 @@
         self._drop_idle(attempt.server_id)
 
     def abandon(self, ticket: Ticket, now: float) -> None:
-        """End an attempt whose caller disconnected, unless it has ended already."""
+        """End an attempt that the router gave up, unless it has ended already."""
         if ticket in self._attempts_by_ticket:
-            self.end(ticket, AttemptResult.CALLER_LEFT, now)
+            self.end(ticket, AttemptResult.ABANDONED, now)
 
     def load_of(self, server_id: BackendServerId, now: float) -> ServerLoad:
         """Return the estimated load of a backend server from all routers.
--- a/bluebellshore/routing/outlier_detection.py
+++ b/bluebellshore/routing/outlier_detection.py
@@ -253,7 +253,7 @@
 
         :param seconds: time to its first event.
         """
-        if result in (AttemptResult.CALLER_LEFT, AttemptResult.REFUSED):
+        if result in (AttemptResult.ABANDONED, AttemptResult.REFUSED):
             return
         if result is AttemptResult.ANSWERED:
             self._count_own(server_id, ResultCounts(successes=1.0), now)
--- a/bluebellshore/routing/results.py
+++ b/bluebellshore/routing/results.py
@@ -28,8 +28,9 @@
     BROKEN = "broken"
     #: No answer, or no further part of it, came in time.
     TIMED_OUT = "timed-out"
-    #: The caller disconnected or the request's deadline passed first.
-    CALLER_LEFT = "left"
+    #: The router ended the attempt: the caller disconnected, the request's deadline
+    #: passed, or the router stopped or failed.
+    ABANDONED = "abandoned"
 
 
 class ResultCounts(msgspec.Struct):
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -268,6 +268,14 @@
 class UnsafeRequestTest(EntryCase):
     kind = RouteKind.UNSAFE
 
+    async def test_attempt_at_a_silent_server_was_counted_as_left_by_the_caller(self):
+        # Callers that wait until the deadline have not left.
+        self.add_servers("a")
+        self.backend.answers = [FakeAnswer([asyncio.Event()])]
+        async with self.get(**{DEADLINE_HEADER: "100"}) as response:
+            self.assertEqual(response.status, 504)
+        self.assert_metrics('attempts_total{result="abandoned"} 1.0')
+
     async def test_lost_answer_of_a_purchase_says_why_it_is_not_sent_again(self):
         self.add_servers("a")
         self.backend.answers = [BROKEN]
@@ -328,7 +336,7 @@
         await self.wait_until(lambda: "ended" in self.message_types())
         self.assertEqual(self.line("ended")["outcome"], "left")
         self.assertNotIn("refused", self.message_types())
-        self.assert_metrics('attempts_total{result="left"} 1.0')
+        self.assert_metrics('attempts_total{result="abandoned"} 1.0')
 
     async def test_request_cut_by_the_routers_own_stop_is_not_logged_as_left(self):
         self.add_servers("a")
--- a/tests/test_rollouts_attempt.py
+++ b/tests/test_rollouts_attempt.py
@@ -88,7 +88,7 @@
         attempt = make_attempt()
         for number in range(EARLY_GAP_EVENTS):
             attempt.record_events(SENT_AT + 0.4 * number)
-        counts = attempt.count_end(AttemptResult.CALLER_LEFT, SENT_AT + 7.0)
+        counts = attempt.count_end(AttemptResult.ABANDONED, SENT_AT + 7.0)
         self.assertEqual(counts, AttemptCounts(gap={latency_bucket(0.4): 1}))
 
     def test_overdue_attempt_counts_once(self) -> None:
@@ -114,7 +114,7 @@
             AttemptResult.REFUSED,
             AttemptResult.UNREACHABLE,
             AttemptResult.BROKEN,
-            AttemptResult.CALLER_LEFT,
+            AttemptResult.ABANDONED,
         )
         for result in uninformative:
             with self.subTest(result):
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -39,7 +39,7 @@
         new = call(("a", 1000), ("w", 10))
         self.assertEqual(self.loads.extra_memory_tokens(new, self.server.server_id), 60)
         for ticket in tickets:
-            self.loads.end(ticket, AttemptResult.CALLER_LEFT, 1.0)
+            self.loads.end(ticket, AttemptResult.ABANDONED, 1.0)
         self.assertEqual(self.load().held_tokens, 0)
 
     def test_peer_load_is_reduced_by_tokens_read_since_the_report(self):
--- a/tests/test_routing_outlier_detection.py
+++ b/tests/test_routing_outlier_detection.py
@@ -70,7 +70,7 @@
         self.assertEqual(self.usable(), [0, 1, 2, 3])
 
     def test_callers_that_leave_and_full_queues_are_no_failures(self):
-        self.record_results(1, AttemptResult.CALLER_LEFT, 20)
+        self.record_results(1, AttemptResult.ABANDONED, 20)
         self.record_results(1, AttemptResult.REFUSED, 20)
         self.assertEqual(self.usable(), [0, 1, 2, 3])
 
