Don't log each cancelled wait as the caller's or the deadline's

A wait for a place that the stop of the router ended was logged as "the caller disconnected or the deadline passed", while the caller got "the router stops". A wait that an unexpected error ended was logged as "placed".

Cause: Admission took each cancellation for one of two causes, and began with the outcome of success. Change: such waits are logged as 'cancelled', and the request's last line says why; 'placed' is set with the place, else the outcome is 'failed'.

Measured: both tests fail before; tests of requests, stops and dispatch pass.

--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -205,15 +205,18 @@
         loop = asyncio.get_running_loop()
         waiting = _WaitingRequest(call, tried, loop.create_future(), choice, ahead)
         self._waiting[id(call)] = waiting
-        wait_began_at, outcome = loop.time(), "placed"
+        wait_began_at, outcome = loop.time(), "failed"
         try:
             self.place_waiting(service)
-            return await waiting.future
+            started = await waiting.future
+            outcome = "placed"
+            return started
         except OverloadError as error:
             outcome = error.message
             raise
         except asyncio.CancelledError:
-            outcome = "the caller disconnected or the deadline passed"
+            # The request's last line says why.
+            outcome = "cancelled"
             queue.withdraw(call)
             future = waiting.future
             if future.done() and not future.cancelled() and not future.exception():
--- a/bluebellshore/routing/waiting.py
+++ b/bluebellshore/routing/waiting.py
@@ -149,7 +149,7 @@
         ]
 
     def withdraw(self, call: Call) -> bool:
-        """Remove a request whose caller disconnected.
+        """Remove a request that was cancelled.
 
         :return: False if the request was not waiting.
         """
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -382,6 +382,38 @@
         self.assertEqual((waited["outcome"], waited["servers"]), ("placed", 1))
         self.assertEqual(self.message_types().count("ended"), 2)
 
+    async def send_to_a_full_server(self):
+        """Send a request that waits for a place, after one that has it."""
+        self.platform_state.servers_by_id["a"] = server("a", slots=1)
+        self.backend.answers = [FakeAnswer([asyncio.Event()])]
+        first = asyncio.create_task(self.get().__aenter__())
+        await self.wait_until(lambda: "placed" in self.message_types())
+        second = asyncio.create_task(self.get().__aenter__())
+        await self.wait_until(lambda: self.admission.waiting_count)
+        return first, second
+
+    async def test_wait_that_the_routers_stop_ended_was_logged_as_the_callers(self):
+        # The caller is connected until it gets the refusal.
+        first, second = await self.send_to_a_full_server()
+        self.ingress.stop_schedule = StopSchedule.begin(self.now(), 8.0)
+        self.ingress.end_requests(sent=False)
+        async with await second as response:
+            self.assertEqual(response.status, 503)
+        self.assertEqual(self.line("waited")["outcome"], "cancelled")
+        self.assertEqual(self.line("refused")["reason"], "the router stops")
+        first.cancel()
+
+    async def test_wait_that_failed_was_logged_as_placed(self):
+        # An unexpected error gives no place.
+        first, second = await self.send_to_a_full_server()
+        waiting = next(iter(self.admission._waiting.values()))
+        self.admission._queues["engines"].withdraw(waiting.call)
+        waiting.future.set_exception(RuntimeError("unexpected"))
+        async with await second as response:
+            self.assertEqual(response.status, 500)
+        self.assertEqual(self.line("waited")["outcome"], "failed")
+        first.cancel()
+
 
 class TraceTest(unittest.TestCase):
     def test_only_pauses_that_grow_beyond_the_allowed_are_logged(self):
