Name the stop of the process as the reason for refusing waiting requests

Requests that waited for a pooled connection when the process closed its connections failed with "the backend server is gone" while the server answered on; the same text stood for a server that had restarted. A connection that was released before the end of its answer failed with "its caller left", also after a timeout or a broken answer.

Cause: ServerPool had one text for each of these ways to retire and release. Change: close() passes its reason on, retire() says "gone or restarted", and the release states only what it knows. Outcomes of the errors are as before.

--- a/bluebellshore/backend/pool.py
+++ b/bluebellshore/backend/pool.py
@@ -10,6 +10,9 @@
 
 __all__ = ["ServerPool"]
 
+#: Reason of requests that end because the process closes its connections.
+STOP_REASON = "this process stops"
+
 
 class ServerPool:
     """Connection pool for one run of a backend server, from its start to its end.
@@ -41,7 +44,8 @@
         )
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._sweep_due = 0.0
-        self._retired = False
+        #: Why no connection is leased any more; empty as long as the pool is in use.
+        self._retired_reason = ""
 
     @property
     def is_unused(self) -> bool:
@@ -69,9 +73,12 @@
             self._active.discard(connection)
             self._release(connection)
 
-    def retire(self) -> None:
-        """Close idle connections now, and leased ones when they are released."""
-        self._retired = True
+    def retire(self, reason: str = "the backend server is gone or restarted") -> None:
+        """Close idle connections now, and leased ones when they are released.
+
+        :param reason: text of the error that requests without a connection get.
+        """
+        self._retired_reason = reason
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
         while self._idle:
@@ -79,7 +86,7 @@
         while self._waiters:
             waiter = self._waiters.popleft()
             if not waiter.done():
-                waiter.set_exception(self._error("the backend server is gone"))
+                waiter.set_exception(self._error(reason))
 
     def close(self) -> list[asyncio.Future[None]]:
         """Close all connections.
@@ -87,9 +94,9 @@
         :return: futures that are done once the connections are closed.
         """
         connections = [*self._idle, *self._active]
-        self.retire()
+        self.retire(STOP_REASON)
         for connection in connections:
-            connection.close("this process stops")
+            connection.close(STOP_REASON)
         return [connection.closed for connection in connections]
 
     def snapshot(self) -> dict[str, int]:
@@ -116,11 +123,9 @@
         else:
             connection.close()
             connection = await self._open(deadline)
-        if self._retired or self._loop.time() >= deadline:
+        if self._retired_reason or self._loop.time() >= deadline:
             self._discard(connection)
-            raise self._error(
-                "the backend server is gone" if self._retired else "its time is over"
-            )
+            raise self._error(self._retired_reason or "its time is over")
         return connection
 
     async def _open(self, deadline: float) -> Connection:
@@ -190,7 +195,7 @@
             connection.mark_idle()
             self._hand_over(connection)
         else:
-            connection.close("its caller left")
+            connection.close("released before the end of the answer")
             self._hand_over(None)
 
     def _hand_over(self, connection: Connection | None) -> None:
@@ -200,7 +205,7 @@
         """
         while (
             self._waiters
-            and not self._retired
+            and not self._retired_reason
             and self._connection_count <= self._limit
         ):
             waiter = self._waiters.popleft()
@@ -209,7 +214,7 @@
                 return
         if connection is None:
             self._connection_count -= 1
-        elif self._retired:
+        elif self._retired_reason:
             self._discard(connection)
         else:
             self._idle.append(connection)
--- a/tests/test_backend_pool.py
+++ b/tests/test_backend_pool.py
@@ -355,6 +355,20 @@
             for _ in server.peers:
                 await ends.acquire()
 
+    async def test_request_at_the_stop_was_refused_for_a_server_that_is_gone(self):
+        # The server answers on; only this process closes its connections.
+        async def script(peer: Peer):
+            await peer.send(answer(await peer.attempt(), b"ok"))
+            await peer.wait_for_end()
+
+        self.limit = 1
+        async with scripted_server(script) as server:
+            async with self.backend.send(server.instance_entry(), request("a0")):
+                waiting = asyncio.create_task(self.failing(server, request("a1")))
+                await wait_until(lambda: self.waiting)
+                await self.backend.close()
+                self.assertEqual((await waiting).message, "this process stops")
+
     async def test_restarted_server_gets_new_connections(self):
         async def script(peer: Peer):
             attempt = await peer.attempt()
