Don't log attempts that were not sent as servers that could not be reached

A request at one backend server whose connections of this router were all in use was given up with "too many backend servers could not be reached", and its attempts counted as attempts_total{result="unreachable"}, "no connection could be made".

Cause: attempts that are not sent share one outcome, whether the server refuses a connection or the router's own limit is reached. Change: the line says that the attempts were not sent, and the meaning of the result lists both; `sent_again` and `given_up` carry the reason of each attempt as before. What outlier detection makes of it is unchanged.

Measured: the test fails before; tests of requests and dispatch pass.

--- a/bluebellshore/entry/attempt_log.py
+++ b/bluebellshore/entry/attempt_log.py
@@ -89,7 +89,7 @@
         elif call.deadline - now < MIN_ATTEMPT_SECONDS:
             why = "too little time is left for another attempt"
         elif error.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.MISDIRECTED):
-            why = "too many backend servers could not be reached"
+            why = "too many attempts were not sent to their backend server"
         elif attempts_left <= 0:
             why = "the route allows no more attempts"
         else:
--- a/bluebellshore/routing/results.py
+++ b/bluebellshore/routing/results.py
@@ -22,7 +22,8 @@
     #: The backend server states that it did not run the request, or the request reached
     #: another server than intended.
     REFUSED = "refused"
-    #: No connection could be made.
+    #: The request was not sent: no connection could be made or used, or this router's
+    #: connections to the server were all in use.
     UNREACHABLE = "unreachable"
     #: The connection broke, or the answer was malformed or incomplete.
     BROKEN = "broken"
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -268,6 +268,23 @@
 class UnsafeRequestTest(EntryCase):
     kind = RouteKind.UNSAFE
 
+    async def test_one_full_connection_pool_was_logged_as_unreachable_servers(self):
+        # The router's own limit of connections says nothing about its servers.
+        self.add_servers("a")
+        full = AttemptError(
+            "all connections are in use",
+            step="test",
+            peer="a",
+            outcome=AttemptOutcome.NOT_SENT,
+        )
+        self.backend.answers = [full] * 4
+        async with self.get() as response:
+            self.assertEqual(response.status, 503)
+        self.assertEqual(
+            self.line("given_up")["why"],
+            "too many attempts were not sent to their backend server",
+        )
+
     async def test_attempt_at_a_silent_server_was_counted_as_left_by_the_caller(self):
         # Callers that wait until the deadline have not left.
         self.add_servers("a")
