Name the timeout in the log lines of loans

A loan or a repayment without an answer was logged as "TimeoutError", which doesn't say whose time limit passed: the call's, the request's or the route's.

Cause: asyncio's TimeoutError has no text, so its type was logged.

--- a/bluebellshore/entry/loans.py
+++ b/bluebellshore/entry/loans.py
@@ -394,7 +394,7 @@
         except InsufficientBudgetError:
             raise
         except (TimeoutError, BluebellshoreError) as error:
-            reason = str(error) or type(error).__name__
+            reason = _reason_of(error, timeout_seconds)
             self._log.notice("loan", reason, peer=peer, loan=loan.name)
             self.repay(peer, loan.name, Tokens(0))
             return None
@@ -410,6 +410,16 @@
                     await self._transport.repay(peer, name, tokens)
                 return
             except (TimeoutError, BluebellshoreError) as error:
-                reason = str(error) or type(error).__name__
+                reason = _reason_of(error, LENDER_CALL_TIMEOUT_SECONDS)
             await asyncio.sleep(REPAY_RETRY_SECONDS)
         self._log.notice("loan", reason, peer=peer, loan=name, not_repaid=tokens)
+
+
+def _reason_of(error: Exception, timeout_seconds: float) -> str:
+    """Return why a call to a lender failed.
+
+    :param timeout_seconds: timeout of the call.
+    """
+    if isinstance(error, TimeoutError):
+        return f"no answer for {timeout_seconds:.2f} s"
+    return str(error)
