Don't refuse for a holder that lends too little when lenders are silent

A request whose lenders all kept silent was refused with "the holder of the budget lends too little"; none of them had said what it can lend. The same text stood for a deputy that lent too little while the holder could not be reached.

Cause: past its deadline the request ends with the outcome that stands for too few tokens, whoever was asked. Status and Retry-After are as before.

--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -520,7 +520,7 @@
                 return outcome is LoanOutcome.COVERED
             if self._clock() >= deadline:
                 raise OverloadError(
-                    "the holder of the budget lends too little",
+                    "too few tokens were lent in time",
                     step=STEP,
                     peer=reservation.customer,
                     retry_after=RETRY_AFTER_SECONDS,
