Audit budgets and ledger as they were at one moment

Cause: the audit read the budgets' rows and then, with a second call, the ledger. The demo cancels four chats when its move ends; their bills are settled while the audit runs. A bill settled between the two calls was counted in the ledger and not in its budget. tests/system.py read in the other order in one place, which misses bills the other way round.

Change: read_accounts reads the rows, the ledger and the rows again, and starts over when a row was written meanwhile. A bill is written in one transaction with its budget's row, so unchanged rows mean a ledger that fits them. The comparison itself is as strict as before: a mismatch that lasts is found, and rows that never stay unchanged for one read are an error. The three places that audit use it; read_budgets is gone.

--- a/bluebellshore/load/audit.py
+++ b/bluebellshore/load/audit.py
@@ -1,5 +1,6 @@
 """Audit of a run: budgets, bills, executions and answers, compared with each other."""
 
+import asyncio
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from enum import Enum
@@ -8,23 +9,33 @@
 
 from bluebellshore.budget.rows import Bill, BudgetRow, LedgerRow, budget_key, decode_row
 from bluebellshore.bundle.model import Bundle
+from bluebellshore.errors import BluebellshoreError
 from bluebellshore.ids import BudgetId, RequestKey
 from bluebellshore.load.results import CallKind, CallOutcome, CallResult
 from bluebellshore.store.interface import Row, TableService
 
 __all__ = [
+    "AuditError",
     "Execution",
     "Finding",
     "FindingKind",
     "RunRecord",
     "audit",
+    "read_accounts",
     "read_bills",
-    "read_budgets",
     "scan_all",
 ]
 
 LEDGER_PREFIX = "ledger/"
 SCAN_ROWS = 1000
+#: Time in which the budgets must stay unchanged for as long as the ledger is read.
+STEADY_LIMIT_SECONDS = 20.0
+#: Pause before the budgets and the ledger are read again.
+REREAD_SECONDS = 0.05
+
+
+class AuditError(BluebellshoreError):
+    """The rows of a run could not be read for an audit."""
 
 
 class FindingKind(Enum):
@@ -93,16 +104,37 @@
     return [bill for row in rows for bill in decode_row(row, LedgerRow).bills]
 
 
-async def read_budgets(
-    table: TableService, budgets: Iterable[BudgetId]
-) -> dict[BudgetId, BudgetRow]:
-    """Read the rows of budgets. :return: rows by budget."""
+async def read_accounts(
+    table: TableService,
+    budgets: Iterable[BudgetId],
+    *,
+    limit_seconds: float = STEADY_LIMIT_SECONDS,
+) -> tuple[dict[BudgetId, BudgetRow], list[Bill]]:
+    """Read the rows of budgets and the ledger as they were at one moment.
+
+    A bill is written in one transaction with the row of its budget, so the ledger
+    holds the bills of just these rows if none of them was written while it was read.
+    Otherwise all is read again.
+
+    :param limit_seconds: time after which no further attempt is made.
+    :return: rows by budget, and all bills.
+    :raises AuditError: the rows were written during each attempt.
+    """
     ids = list(budgets)
-    rows = await table.read([budget_key(budget) for budget in ids])
-    return {
-        budget: decode_row(rows.get(budget_key(budget)), BudgetRow) or BudgetRow()
-        for budget in ids
-    }
+    keys = [budget_key(budget) for budget in ids]
+    loop = asyncio.get_running_loop()
+    end = loop.time() + limit_seconds
+    while True:
+        rows_by_key = await table.read(keys)
+        bills = await read_bills(table)
+        if await table.read(keys) == rows_by_key:
+            break
+        if loop.time() > end:
+            message = f"budgets were written during each read for {limit_seconds} s"
+            raise AuditError(message, step="audit.read")
+        await asyncio.sleep(REREAD_SECONDS)
+    decoded = (decode_row(rows_by_key.get(key), BudgetRow) for key in keys)
+    return dict(zip(ids, (row or BudgetRow() for row in decoded), strict=True)), bills
 
 
 def audit(record: RunRecord) -> list[Finding]:
--- a/bluebellshore/load/demo.py
+++ b/bluebellshore/load/demo.py
@@ -15,8 +15,7 @@
     Finding,
     RunRecord,
     audit,
-    read_bills,
-    read_budgets,
+    read_accounts,
 )
 from bluebellshore.load.caller import Caller, expected_answer_of
 from bluebellshore.load.fleet import wait_until
@@ -155,8 +154,7 @@
 
     async def _settled_record(self) -> RunRecord | None:
         platform = self.system.platform
-        budgets = await read_budgets(platform, self.bundle.budgets)
-        bills = await read_bills(platform)
+        budgets, bills = await read_accounts(platform, self.bundle.budgets)
         billed = {bill.key for bill in bills}
         delivered = {
             f"{result.customer}/{result.call.key}"
--- a/bluebellshore/load/runs.py
+++ b/bluebellshore/load/runs.py
@@ -15,8 +15,7 @@
     Execution,
     RunRecord,
     audit,
-    read_bills,
-    read_budgets,
+    read_accounts,
 )
 from bluebellshore.load.deployments import (
     Deployment,
@@ -277,13 +276,9 @@
     running: RunningDeployment, bundle: Bundle, results: list[CallResult]
 ) -> RunRecord:
     async with running.fleet.platform() as platform:
-        return RunRecord(
-            bundle,
-            await read_budgets(platform, bundle.budgets),
-            await read_bills(platform),
-            results,
-            await read_executions(running),
-        )
+        budgets, bills = await read_accounts(platform, bundle.budgets)
+        executions = await read_executions(running)
+    return RunRecord(bundle, budgets, bills, results, executions)
 
 
 async def read_executions(running: RunningDeployment) -> list[Execution]:
--- a/tests/system.py
+++ b/tests/system.py
@@ -32,8 +32,8 @@
     Finding,
     RunRecord,
     audit,
+    read_accounts,
     read_bills,
-    read_budgets,
     scan_all,
 )
 from bluebellshore.load.caller import Caller, caller_session
@@ -255,8 +255,7 @@
 
             await wait_until(billed, f"bills of {sorted(keys)}", limit_seconds=20)
             await self.wait_settled()
-            bills = await read_bills(platform)
-            budgets = await read_budgets(platform, bundle.budgets)
+            budgets, bills = await read_accounts(platform, bundle.budgets)
         return audit(RunRecord(bundle, budgets, bills, list(results)))
 
     async def wait_settled(self) -> None:
@@ -424,10 +423,11 @@
     """Wait for all bills, then audit budgets, bills, answers and executions."""
     await system.wait_settled()
     async with system.fleet.platform() as platform:
+        budgets, bills = await read_accounts(platform, bundle.budgets)
         record = RunRecord(
             bundle=bundle,
-            budgets_by_id=await read_budgets(platform, bundle.budgets),
-            bills=await read_bills(platform),
+            budgets_by_id=budgets,
+            bills=bills,
             results=list(results),
             executions=await executions_of(system),
         )
