Wait at a stop for calls whose callers have left

A call that runs at most once goes on when its caller leaves, so that its outcome is recorded for a retry. At a stop the router waited for the requests in its port and for writes in progress, but not for such calls: the answer came to a router that had closed its links, and a retry was told that the call may have run (409) instead of getting the answer. Nothing held a reference to the task but what it awaited, and nothing was logged.

Change: the dispatcher keeps these calls and waits for them and their writes, for 10 s in all as before, and logs how many are left.

--- a/bluebellshore/router/dispatch.py
+++ b/bluebellshore/router/dispatch.py
@@ -89,6 +89,8 @@
             lambda: RetryBudget(retry_share)
         )
         self._attach_numbers = itertools.count(1)
+        #: Calls that run at most once, also those whose callers have disconnected.
+        self._calls_run_once: set[asyncio.Task] = set()
         self._pending_writes: set[asyncio.Task] = set()
 
     async def open(self, call: Call) -> AnswerSource:
@@ -99,7 +101,10 @@
         if call.idempotent:
             return await self._open_idempotent(call)
         # The outcome must be recorded even if the caller disconnects.
-        return await asyncio.shield(self._open_once(call))
+        task = asyncio.create_task(self._open_once(call))
+        self._calls_run_once.add(task)
+        task.add_done_callback(self._calls_run_once.discard)
+        return await asyncio.shield(task)
 
     # Idempotent calls
 
@@ -357,8 +362,14 @@
 
     async def stop(self) -> None:
         """Wait up to :data:`MAX_STOP_WAIT_SECONDS` for outcomes to be recorded."""
-        if self._pending_writes:
-            await asyncio.wait(self._pending_writes, timeout=MAX_STOP_WAIT_SECONDS)
+        now = asyncio.get_running_loop().time
+        deadline = now() + MAX_STOP_WAIT_SECONDS
+        while (tasks := self._calls_run_once | self._pending_writes) and (
+            now() < deadline
+        ):
+            await asyncio.wait(tasks, timeout=deadline - now())
+        if tasks:
+            eliot.log_message("outcomes_not_recorded", count=len(tasks))
         await self._claims.close()
 
     # Parts of an attempt
--- a/tests/test_router_dispatch.py
+++ b/tests/test_router_dispatch.py
@@ -6,18 +6,20 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from bluebellshore.duties import Claims
+from bluebellshore.duties import Claims, ClaimState
 from bluebellshore.errors import RefusedError, RunState
 from bluebellshore.ids import RouteName
 from bluebellshore.router.calls import Call
 from bluebellshore.router.dispatch import Dispatcher
-from bluebellshore.router.streams import RouterStream, StreamRefused
+from bluebellshore.router.streams import RouterStream, StreamEnded, StreamRefused
 from bluebellshore.store.memory import MemoryTable
 from bluebellshore.wire import link_pb2 as pb
 from tests.system import ORDERS, small_bundle
+from tests.test_router_guards import make_end
 
 BUNDLE = small_bundle()
 ROUTE = RouteName(ORDERS)
+BODY = b"one spool"
 
 
 class FakePool:
@@ -79,13 +81,32 @@
             method="POST",
             path="/",
             headers={},
-            body=b"one spool",
+            body=BODY,
             reserved_tokens=1,
             price=1,
             deadline=asyncio.get_running_loop().time() + 60.0,
         )
         return asyncio.create_task(self.dispatcher.open(self.call))
 
+    async def claim_state(self) -> ClaimState:
+        """Return what a retry of the call at another router finds."""
+        claims = Claims(self.table, rng=random.Random(2))
+        claim = await claims.claim(self.call.key, "s2", "r2", self.call.fingerprint)
+        return claim.state
+
+    async def test_stop_forgets_a_call_whose_caller_left(self):
+        # A retry was told that the call may have run, though its answer had come.
+        opening = self.open()
+        stream = await self.pool.streams.get()
+        opening.cancel()
+        await asyncio.wait([opening])
+        stopping = asyncio.create_task(self.dispatcher.stop())
+        await asyncio.sleep(0.05)
+        stream.add_chunk(pb.Chunk(offset=0, data=BODY, status=200))
+        stream.push(StreamEnded(make_end(BODY)))
+        await stopping
+        self.assertIs(ClaimState.DONE, await self.claim_state())
+
     async def test_claim_whose_release_failed_counts_as_released(self):
         # The call was claimed anew, in vain, and refused as if it might have run twice.
         release = mock.AsyncMock(side_effect=KeyError("odd"))
