Don't trust the caps of a copy after a recovery that failed

If that recovery failed by an error other than a PlatformError (a row that can't be read), the loop began anew as at a start: it recovered them with their caps and could return tokens that were spent, so that a customer could spend more than it paid. A loop that is run again after a cancelled call would have done the same.

Change: whether caps hold is state of the budgets, no longer of a run of the loop.

--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -242,6 +242,9 @@
         self._name_count = 0
         self._tasks: list[asyncio.Task] = []
         self._restored = asyncio.Event()
+        #: Whether the caps of earlier incarnations bound what they spent, as the store
+        #: has not come back from an older copy since the start.
+        self._caps_hold = True
 
     @property
     def fenced(self) -> bool:
@@ -365,6 +368,7 @@
     def note_restored(self) -> None:
         """Repeat what a store that came back from an older copy lacks."""
         self._accountant.note_restored()
+        self._caps_hold = False
         self._restored.set()
 
     def drain(self) -> None:
@@ -418,16 +422,15 @@
 
         What they did after a copy is not known any more.
         """
-        await self._recover_all(caps_hold=True)
         while True:
-            await self._restored.wait()
             self._restored.clear()
-            await self._recover_all(caps_hold=False)
+            await self._recover_all()
+            await self._restored.wait()
 
-    async def _recover_all(self, *, caps_hold: bool) -> None:
+    async def _recover_all(self) -> None:
         while True:
             try:
-                recovered = await self._predecessors.recover(caps_hold=caps_hold)
+                recovered = await self._predecessors.recover(caps_hold=self._caps_hold)
                 break
             except PlatformError as error:
                 self._budget_log.log.notice("predecessors", str(error))
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -329,6 +329,20 @@
         await router.close()
         self.assertEqual(fleet.row().settled, 100)
 
+    @in_virtual_time
+    async def test_failed_recovery_after_a_restore_trusts_the_caps_of_the_copy(self):
+        # They lack what was spent after the copy, so that too much was returned.
+        fleet = SimulatedFleet({"acme": PREPAID})
+        router = await fleet.start("r1")
+        await asyncio.sleep(1)
+        recover = mock.AsyncMock(side_effect=[KeyError("odd"), []])
+        self.enterContext(mock.patch.object(router._predecessors, "recover", recover))
+        router.note_restored()
+        await asyncio.sleep(5)
+        caps_hold = [call.kwargs["caps_hold"] for call in recover.await_args_list]
+        self.assertEqual([False, False], caps_hold)
+        await router.close()
+
     @in_virtual_time
     async def test_same_attempt_id_later_is_another_attempt(self):
         fleet = SimulatedFleet({"acme": PREPAID})
