Don't count calls that the router cancelled as unanswered by the store

store_calls_total said result="unanswered" for each call that the router itself ended, as the long polls of its watch when it stops, beside the calls that the store left without an answer.

Cause: 'unanswered' stood for each call without a status. Change: a cancelled call counts as 'cancelled'; a call that ends by its timeout still counts as 'unanswered'.

Measured: the test fails before; tests of the store client, metrics and router, 37 passed.

--- a/bluebellshore/platform/store.py
+++ b/bluebellshore/platform/store.py
@@ -83,8 +83,8 @@
     :param call_seconds: timeout of a call.
     :param row_bytes: longest value of a row that the store accepts, in bytes.
     :param local_host: local address to connect from; empty for any.
-    :param on_call: called after each call with its name, its result (the HTTP status or
-        ``unanswered``) and the seconds that it took.
+    :param on_call: called after each call with its name, its result (the HTTP status,
+        ``unanswered`` or ``cancelled``) and the seconds that it took.
     :param on_restored: called when the store came back from an older copy of itself,
         with its era before and now.
     """
--- a/bluebellshore/platform/store_calls.py
+++ b/bluebellshore/platform/store_calls.py
@@ -53,8 +53,9 @@
     :param call_seconds: default timeout of a call.
     :param local_host: local address to connect from; empty for any.
     :ivar call_count: number of calls made.
-    :ivar on_call: called after each call with its name, its result (the HTTP status or
-        ``unanswered``) and the seconds that it took.
+    :ivar on_call: called after each call with its name, its result (the HTTP status,
+        ``unanswered``, or ``cancelled`` for a call that this process ended) and the
+        seconds that it took.
     :ivar era: newest era in an answer, which grows each time that the store comes back
         from an older copy; None before the first answer.
     :ivar on_restored: called with the era before and the new one.
@@ -163,6 +164,7 @@
             reason = str(error) or type(error).__name__
             raise self.unavailable(reason, step) from error
         except asyncio.CancelledError as error:
+            result = "cancelled"
             if is_cancelling():
                 raise
             # aiohttp cancels the look-up of a host name when its session is closed.
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -269,6 +269,39 @@
             asyncio.run(PlatformStore(PEER).read(["t/a"]))
 
 
+class CallResultTest(unittest.IsolatedAsyncioTestCase):
+    async def test_call_that_was_cancelled_was_counted_as_unanswered(self):
+        # A watch that ends with its process says nothing about the store.
+        asked = asyncio.Event()
+
+        async def keep_silent(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            asked.set()
+            await reader.read()
+            writer.close()
+
+        results = []
+        server = await asyncio.start_server(keep_silent, "127.0.0.1", 0)
+        async with server:
+            host, port = server.sockets[0].getsockname()
+            store = PlatformStore(
+                f"{host}:{port}",
+                call_seconds=0.1,
+                on_call=lambda name, result, seconds: results.append(result),
+            )
+            await store.open()
+            with self.assertRaises(PlatformUnavailableError):
+                await store.read(["t/a"])
+            asked.clear()
+            call = asyncio.create_task(store.feed("t", 0, 30.0))
+            await asked.wait()
+            call.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await call
+            await store.close()
+        self.assertEqual(results, ["unanswered", "cancelled"])
+
+
 class RequestTest(unittest.TestCase):
     """Calls that the store would refuse are not sent."""
 
