Don't log a refused commit of budgets as a store that does not answer

A commit that the store refused, as with status 507 or 429, was logged as "the store does not answer", and the next success as "the store answers again".

Cause: the notice stands for each error of a commit, and an answer that refuses it is one too. Change: it says that a commit failed, or that commits succeed again; whether the store answers is told by the `store` lines.

Measured: the test fails before and passes.

--- a/bluebellshore/entry/budget_log.py
+++ b/bluebellshore/entry/budget_log.py
@@ -109,10 +109,12 @@
         self._log_allotment(budget, AllotmentOutcome.RECLAIMED, tokens, reason)
 
     def record_store_contact(self, out: bool) -> None:
-        """Record that the store stopped answering (`out`), or answers again."""
+        """Record that a commit failed (`out`) after a success, or succeeds again."""
         self.log.notice(
             "budgets",
-            "the store does not answer" if out else "the store answers again",
+            "a commit to the store failed"
+            if out
+            else "commits to the store succeed again",
             unsettled=len(self._accounts.unsettled_by_attempt),
         )
 
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -18,12 +18,14 @@
     IncarnationState,
     decode_row,
 )
+from bluebellshore.decisions import DecisionLog
 from bluebellshore.entry.budgets import CustomerBudgets
 from bluebellshore.entry.loans import Loan
 from bluebellshore.errors import (
     InsufficientBudgetError,
     LinkError,
     OverloadError,
+    PlatformError,
     PlatformUnavailableError,
     RefusedError,
     TransactionConflictError,
@@ -319,6 +321,31 @@
         states = [row.state for row in fleet.incarnations().values()]
         self.assertEqual(states, [IncarnationState.CLOSED])
 
+    @in_virtual_time
+    async def test_store_that_refuses_a_commit_was_logged_as_one_that_is_silent(self):
+        # A refusal is an answer: the store has the router's row but not the change.
+        lines = []
+        table = FaultyTable(MemoryTable())
+        budgets = CustomerBudgets(
+            table,
+            "r1",
+            prepaid={"acme": PREPAID}.get,
+            customers=lambda: ["acme"],
+            clock=asyncio.get_running_loop().time,
+            log=DecisionLog(lines.append),
+        )
+        await budgets.open()
+        await asyncio.sleep(1)
+        refusal = PlatformError("status 507: no space", step="store.transact")
+        with mock.patch.object(table, "transact", side_effect=refusal):
+            await asyncio.sleep(3)
+        await asyncio.sleep(3)
+        await budgets.close()
+        self.assertEqual(
+            [line["reason"] for line in lines if line.get("subject") == "budgets"],
+            ["a commit to the store failed", "commits to the store succeed again"],
+        )
+
     @in_virtual_time
     async def test_never_counts_more_than_was_reserved(self):
         fleet = SimulatedFleet({"acme": PREPAID})
