Don't call a process killed that counts dropped lines as it stops

`explain` noted "the process was killed or failed" of a process that had logged its orderly end, if its log output was read too slowly at that moment.

Cause: the line `stopped` counted only as the last one, but LineWriter.close() writes its count of dropped lines after it. Change: `stopped` counts anywhere, as a process writes it once.

Measured: the test fails before; tests of explain and of the writer pass.

--- a/bluebellshore/decisions/story.py
+++ b/bluebellshore/decisions/story.py
@@ -242,7 +242,8 @@
     if any(record.request and record.kind in _END_KINDS for record in records):
         return
     text = f"{process}: no line reports how the request ended here"
-    if records[-1].kind == Kind.STOPPED.value:
+    # A count of dropped lines may follow the last line of a normal end.
+    if any(record.kind == Kind.STOPPED.value for record in records):
         yield f"{text}; the process then shut down normally"
         return
     restart_times = [
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -222,6 +222,19 @@
         first.log.ended("a-1", status=200, outcome=Outcome.ANSWERED, seconds=1)
         self.assertEqual(self.explain("a-1", first.lines).story.notes, [])
 
+    def test_process_that_counts_dropped_lines_as_it_stops_was_called_killed(self):
+        # The writer counts the lines that it dropped after all others.
+        first, second = FakeProcess("edge-1"), FakeProcess("edge-1", STARTED_AT + 2.5)
+        second._common_fields["incarnation"] = "edge-1.2"
+        log_placed(first.log, "a-1", "s-1")
+        first.after(1).stopped()
+        message = {"message_type": "lines_dropped", "lines": 31, "clock": first.now}
+        first._append({**message, "timestamp": STARTED_AT + 1})
+        second.log.started("entry")
+        notes = self.explain("a-1", first.lines, second.lines).story.notes
+        self.assertEqual(len(notes), 2, notes)
+        self.assertIn("then shut down normally", notes[-1])
+
     def test_request_of_a_router_that_names_it_by_key(self):
         line = {"message_type": "refused", "key": "acme/7", "status": 503}
         line |= {"timestamp": STARTED_AT, "task_uuid": "u", "task_level": [1]}
