Refuse requests that are read as a stopping router closes its connections

What callers saw: a request whose head came whole after the router had ended all others, and before it closed its connections, was passed on to a backend server, and its connection was closed 0.1 s later without an answer, though it may not be repeated.

Cause: StopSchedule accepts a request whose deadline ends in the grace period, also once nobody waits for requests any more. A stop ends early where no request is in flight, so that this holds for most deadlines. Connections on which a head is being received are not closed as idle.

Change: Ingress refuses what comes after `end_requests(sent=True)` as not run.

--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -82,6 +82,7 @@
         self._listener: asyncio.Server | None = None
         self.stop_schedule: StopSchedule | None = None
         self._closing = False
+        self._ended = False
         #: Requests being handled, by time limits that are set when the router stops.
         self._traces_by_limit: dict[asyncio.Timeout, RequestTrace] = {}
         self.active = 0
@@ -136,8 +137,10 @@
 
         A caller that has received no part of its answer gets a refusal.
 
-        :param sent: also end requests that a backend server may run or have run.
+        :param sent: also end requests that a backend server may run or have run, and
+            refuse any that come later.
         """
+        self._ended = self._ended or sent
         now = asyncio.get_running_loop().time()
         for limit, trace in self._traces_by_limit.items():
             if not limit.expired() and (sent or not trace.sent):
@@ -312,8 +315,10 @@
         :raises OverloadError: the request was not sent to a backend server.
         """
         schedule = self.stop_schedule
+        if schedule is None:
+            return
         now = asyncio.get_running_loop().time()
-        if schedule is not None and not schedule.accepts(call.deadline, now):
+        if self._ended or not schedule.accepts(call.deadline, now):
             raise self._stop_error(sent=False)
 
     async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -31,12 +31,21 @@
         return self
 
     def send(self, path, attempt, deadline_ms, more_headers=""):
+        self.send_part(path, attempt, deadline_ms, more_headers)
+        self.send_rest()
+
+    def send_part(self, path, attempt, deadline_ms, more_headers=""):
+        """Send the head of a request without the empty line that ends it."""
         self._writer.write(
             f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}\r\n"
             f"X-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
-            f"{more_headers}\r\n".encode()
+            f"{more_headers}".encode()
         )
 
+    def send_rest(self):
+        """Send the end of a head."""
+        self._writer.write(b"\r\n")
+
     async def read_status(self):
         """Return the status of the next answer; 0 if the connection was closed."""
         try:
@@ -178,6 +187,30 @@
         self.assertGreater(answered, 10)
         self.open_gates()
 
+    # A request that was read while the router closed its connections ran and was cut.
+    async def test_request_that_comes_as_the_router_closes_is_not_passed_on(self):
+        instance = await self.start_system()
+        for runner in self.runners:
+            runner.gate.clear()
+        attempt = self.new_attempt_id()
+        late = await KeptConnection(instance).open()
+        self.addCleanup(late.close)
+        late.send_part("/safe/a", attempt, SHORT_DEADLINE_MS)
+        ingress = instance.router._ingress
+        end_requests = ingress.end_requests
+
+        def send_rest(*, sent):
+            end_requests(sent=sent)
+            if sent:
+                late.send_rest()
+
+        with mock.patch.object(ingress, "end_requests", send_rest):
+            await instance.router.stop()
+        # Closed without an answer if it was read too late to be refused.
+        self.assertIn(await late.read_status(), (503, 0))
+        self.assertEqual(0, self.count_runs(attempt))
+        self.open_gates()
+
 
 class RemainingRequestTest(EntryTestCase):
     """Requests that are still served when the time of a stop is over."""
