Log what a stopping entry router leaves unsettled

Three ways in which a stop left something to others without a line in the log: a settlement that ended by a cancellation (Router._settle looked for Exception, and gather hands over CancelledError as a result), one that was not done within 3 s (a suppressed TimeoutError), and loans that were not repaid within 0.5 s, whose tasks were cancelled. The lender counts such a loan as spent in full after 120 s.

Change: a notice for each of the three, one for all loans together. What the router does is as before.

The three tests failed before (no notice). tests.test_entry_stop_log, test_entry_budgets, test_entry_stops, test_entry_budgets_draining and test_docs_lines: 67 passed.

--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -1,7 +1,6 @@
 """Reserves and settles the prepaid token budgets of customers at an entry router."""
 
 import asyncio
-import contextlib
 import math
 import random
 import time
@@ -378,9 +377,13 @@
 
     async def close(self) -> None:
         """Settle, return free tokens, close the incarnation's row and stop."""
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
                 await self._accountant.close()
+        except TimeoutError:
+            self._budget_log.log.notice(
+                "budgets", "not settled in time; the successor does that"
+            )
         if self._loan_client:
             await self._loan_client.close(REPAYMENT_TIMEOUT_SECONDS)
         await self.abandon()
--- a/bluebellshore/entry/loans.py
+++ b/bluebellshore/entry/loans.py
@@ -362,8 +362,12 @@
         """Wait at most `seconds` for pending repayments, and cancel the rest."""
         if self._tasks:
             await asyncio.wait(set(self._tasks), timeout=seconds)
-        for task in list(self._tasks):
+        unfinished = list(self._tasks)
+        for task in unfinished:
             task.cancel()
+        if unfinished:
+            reason = "not repaid before the stop; the lenders count them as spent"
+            self._log.notice("loan", reason, not_repaid=len(unfinished))
 
     def _lenders_to_ask(self, loan: Loan) -> list[IncarnationId]:
         """Return reachable routers that may have tokens of the customer, in order."""
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -321,7 +321,7 @@
                 (settled, "budgets were not settled; the successor does that"),
                 (deregistered, "the router stays in the registry"),
             ):
-                if isinstance(failure, Exception):
+                if isinstance(failure, BaseException):
                     error = f"{type(failure).__name__}: {failure}"
                     self._log.notice("stop", reason, error=error)
         except TimeoutError:
