Don't refuse for requests in flight when the store is silent

A request for more tokens than its router had was refused with "the rest of the budget is held for requests in flight" while no request was in flight: the store kept silent and its call had not run into its timeout yet. Tokens that are free at another router gave the same text.

Cause: it is what remains after the other causes, not one that was seen. Status, step and Retry-After are unchanged.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -413,7 +413,7 @@
         if waiter.budget not in self._committer.balances_by_budget:
             return self._overload_error("the table service is slow", PLATFORM_PEER)
         return self._insufficient_error(
-            "the rest of the budget is held for requests in flight",
+            "too few tokens of the budget became free in time",
             waiter.budget,
             RETRY_AFTER_SECONDS,
         )
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -321,6 +321,24 @@
         states = [row.state for row in fleet.incarnations().values()]
         self.assertEqual(states, [IncarnationState.CLOSED])
 
+    @in_virtual_time
+    async def test_silent_store_was_logged_as_tokens_held_for_requests_in_flight(self):
+        # No request is in flight, and the call has not run into its timeout yet.
+        fleet = SimulatedFleet({"acme": PREPAID})
+        for name in ("r1", "r2"):
+            await fleet.start(name)
+        await asyncio.sleep(3)
+        account = fleet.routers["r1"].snapshot()["budgets"]["acme"]
+        fleet.clients["r1"].delay_seconds = 60.0
+        error = await fleet.request("r1", "acme", account["free"] + 1, 1, 0.2, wait=0.3)
+        self.assertEqual(
+            error.message, "too few tokens of the budget became free in time"
+        )
+        self.assertEqual((error.status, error.step), (503, "entry.budgets"))
+        self.assertEqual(fleet.in_flight, {})
+        fleet.clients["r1"].delay_seconds = 0.002
+        await fleet.stop()
+
     @in_virtual_time
     async def test_store_that_refuses_a_commit_was_logged_as_one_that_is_silent(self):
         # A refusal is an answer: the store has the router's row but not the change.
