Name all three signs of a crash in its log line

A crash that was settled by the entry of a successor at the same address was logged as "the backend server's entry is gone or names another start", while its entry was there with the same start.

Cause: the line had the text of two of the three signs by which CrashTracker.settle() decides. Change: it names the third one too.

Measured: the test fails before; tests of crashing requests, 27 passed.

--- a/bluebellshore/entry/crash_log.py
+++ b/bluebellshore/entry/crash_log.py
@@ -27,7 +27,8 @@
         for crash in crashes:
             self._log.notice(
                 "crash",
-                "the backend server's entry is gone or names another start",
+                "the backend server's entry is gone, names another start or shares its "
+                "address with another",
                 server=crash.server_id,
                 requests=sorted(crash.fingerprints)[:MAX_LOGGED_REQUESTS],
                 request_count=len(crash.fingerprints),
--- a/tests/test_routing_crashing_requests.py
+++ b/tests/test_routing_crashing_requests.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from bluebellshore.decisions import DecisionLog
+from bluebellshore.entry.crash_log import CrashLog
 from bluebellshore.entry.crash_messages import write_crashes, write_refusals
 from bluebellshore.fleet import ServerState
 from bluebellshore.routing.crash_tracker import (
@@ -261,6 +263,24 @@
             tracker.settle({name: before, after.server_id: after}, now + 1.0)
         self.assertTrue(tracker.should_refuse(DEADLY, 7.0))
 
+    def test_crash_known_by_a_successors_entry_was_logged_as_an_entry_that_is_gone(
+        self,
+    ):
+        # The server's own entry is still there and names the same start.
+        lines, tracker = [], CrashTracker()
+        before, after = server("s1", port=1), server("s1-again", port=1)
+        tracker.record_broken_connection("s1", DEADLY, 0.0, listed=before)
+        entries = {"s1": before, after.server_id: after}
+        log = CrashLog(tracker, DecisionLog(lines.append))
+        log.log_crashes(tracker.settle(entries, 1.0))
+        self.assertEqual(
+            [line["reason"] for line in lines],
+            [
+                "the backend server's entry is gone, names another start or shares its "
+                "address with another"
+            ],
+        )
+
     def test_crash_of_which_each_router_saw_one_connection_is_known_to_all(self):
         trackers = [CrashTracker("r1"), CrashTracker("r2")]
         for number, name in enumerate(("s1", "s2")):
