Wait at the end of a stop until answers have left the process

What callers saw: the answer to a caller that reads slowly broke off when its router stopped, with most of the grace period left, though the router's log says that it was complete.

Cause: a request counts as ended once its answer is written, while up to 64 KiB may still be buffered in the process because the socket takes no more. A stop waited for requests only, and the process ended with what it had buffered.

Change: the last wait of a stop, which ends 0.5 s before SIGKILL, is also for unsent bytes, those of connections that are being closed included. A caller that never reads delays the end of the process until then.

Measured: the two new tests failed 3 of 3 times before (12288 of 49152 bytes) and passed 6 of 6 after. Tests of requests, stops, connections, routers and processes: 58 passed.

--- a/bluebellshore/entry/connections.py
+++ b/bluebellshore/entry/connections.py
@@ -39,6 +39,7 @@
         "_head_timer",
         "_next_head_began",
         "_on_late",
+        "_transport",
     )
 
     def __init__(
@@ -60,6 +61,14 @@
         self._serving = False
         self._idle_since = self.opened_at
         self._next_head_began = False
+        #: Kept until the connection is lost, unlike `transport`, which is unset as soon
+        #: as the connection is told to close.
+        self._transport: asyncio.BaseTransport | None = None
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes buffered in this process for the caller, also while it closes."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     @property
     def is_open(self) -> bool:
@@ -111,8 +120,14 @@
                 self._start_timer()
         super().data_received(data)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to serve the connection."""
+        self._transport = transport
+        super().connection_made(transport)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timeout when the connection is lost."""
+        self._transport = None
         self._stop_timer()
         super().connection_lost(exc)
 
--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -92,6 +92,13 @@
         """Whether each connection is closed after its present request."""
         return self.stop_schedule is not None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes buffered in this process for callers, also on closing connections."""
+        if self._server is None:
+            return 0
+        return sum(connection.unsent_bytes for connection in self._server.connections)
+
     async def start(self, listen: str) -> str:
         """Open the port. :return: ``host:port``."""
         self._server = CallerServer(
--- a/bluebellshore/entry/router.py
+++ b/bluebellshore/entry/router.py
@@ -254,8 +254,9 @@
 
         Accepts all requests until the platform has noticed that the router is not
         ready, then only those that end in the time left, and closes idle connections.
-        Waits for requests in flight, settles budgets, and closes everything within
-        `stop_seconds` of the settings.
+        Waits for requests in flight, settles budgets, waits for callers that still
+        receive their answers, and closes everything within `stop_seconds` of the
+        settings.
         """
         loop = asyncio.get_running_loop()
         requested_at = self.stop_requested_at
@@ -289,7 +290,9 @@
         await self._settle(schedule.close_at)
         # Callers may have sent requests on open connections in the meantime.
         self._ingress.close_idle()
-        while self._ingress.active and loop.time() < schedule.close_at:
+        while (
+            self._ingress.active or self._ingress.unsent_bytes
+        ) and loop.time() < schedule.close_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         self._ingress.end_requests(sent=True)
         for task in self._tasks:
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import socket
 from unittest import mock
 
 import aiohttp
@@ -17,6 +18,11 @@
 STOP_SECONDS = 5.0
 SHORT_DEADLINE_MS = 1000
 LONG_DEADLINE_MS = 600_000
+#: Answer that the router buffers whole, as the sockets of a test hold less.
+BUFFERED_ANSWER = b"x" * 48 * 1024
+SOCKET_BYTES = 4096
+#: Time for which a caller doesn't read; a stop without requests takes less.
+UNREAD_SECONDS = 2.0
 
 
 class KeptConnection:
@@ -247,3 +253,58 @@
         self.assertIn("Retry-After", answers[1][1])
         self.assertEqual([1, 0], [self.count_runs(sent), self.count_runs(waiting)])
         runner.gate.set()
+
+    # The process ended with the rest of an answer in its buffers.
+    async def test_stop_waits_for_an_earlier_answer_that_is_not_received(self):
+        await self.check_whole_answer_of_slow_reader(late=False)
+
+    async def test_stop_waits_for_a_later_answer_that_is_not_received(self):
+        await self.check_whole_answer_of_slow_reader(late=True)
+
+    async def check_whole_answer_of_slow_reader(self, late):
+        """Check the answer of a caller that goes on reading after others have ended.
+
+        :param late: whether it asks after the stop has begun.
+        """
+        patch = mock.patch(
+            "bluebellshore.standin.runner.plain_answer_of",
+            lambda attempt, body: BUFFERED_ANSWER,
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        instance = await self.start_system()
+        ingress = instance.router._ingress
+        for listener in ingress._listener.sockets:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BYTES)
+        loop = asyncio.get_running_loop()
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+        caller.setblocking(False)
+        host, _, port = instance.listen.rpartition(":")
+        await loop.sock_connect(caller, (host, int(port)))
+        if late:
+            stop = asyncio.create_task(instance.router.stop())
+        attempt = self.new_attempt_id()
+        head = [f"GET /safe/a HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}"]
+        head += [f"X-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 8000"]
+        await loop.sock_sendall(caller, "\r\n".join([*head, "", ""]).encode())
+        await wait_until(
+            lambda: self.count_runs(attempt) and not ingress.active, "the answer"
+        )
+        transports = [
+            connection.transport for connection in ingress._server.connections
+        ]
+        if not late:
+            stop = asyncio.create_task(instance.router.stop())
+        await asyncio.wait({stop}, timeout=UNREAD_SECONDS)
+        if stop.done():
+            # As the end of the process does.
+            for transport in transports:
+                transport.abort()
+        received = bytearray()
+        while data := await loop.sock_recv(caller, SOCKET_BYTES):
+            received += data
+        await stop
+        _, _, body = bytes(received).partition(b"\r\n\r\n")
+        self.assertEqual(len(BUFFERED_ANSWER), len(body))
