Have requests to a fenced router wait for its next incarnation

Cause: the test freezes the router for as long as six chats take. That is 2 s when the machine is free; beside a load it can pass the 3 s after which the other router may fence it (2 s of reclaim_after_seconds, 1 s for the question to the sidecars). Such a fence is right, and so is the refusal's 'not-run': nothing was sent, or the sidecar refused it. But the refusal was needless. The same process starts a new incarnation at once, and until its links are up the old one refused all. It also went on refusing on connections that callers had kept open, while the new one served.

Without the slowing a woken router refused a chat and an order sent at once, and served after 0.24 s.

Ruled out: to open the new port before its links are up, since requests are then refused for want of a sidecar.

Change: Takeover opens calls at the incarnation; one that is refused by a fence and is known not to have run waits for the successor, for 10 s and its deadline at most, and is opened there. The accountant looks at its row at once when a sidecar names the fence first. An order is passed on only after its claim is released. A router that stops refuses as before. FencedError is an OverloadError with the same status and words.

--- a/bluebellshore/budget/accountant.py
+++ b/bluebellshore/budget/accountant.py
@@ -20,6 +20,7 @@
 )
 from bluebellshore.budget.waiters import Waiter, Waiters
 from bluebellshore.errors import (
+    FencedError,
     InsufficientBudgetError,
     OverloadError,
     PlatformError,
@@ -268,12 +269,12 @@
     def reassign(self, attempt: str, sidecar: IncarnationId) -> None:
         """Move a reservation to another sidecar before the attempt is sent there.
 
-        :raises OverloadError: this incarnation is fenced, or its row does not list the
-            sidecar yet or has too low a cap. In the latter cases the next transaction
-            changes the row.
+        :raises FencedError: this incarnation is fenced.
+        :raises OverloadError: its row does not list the sidecar yet or has too low a
+            cap. The next transaction changes the row.
         """
         if self.fenced:
-            raise self._overload_error("this incarnation is fenced")
+            raise self._fenced_error()
         if not self.accounts.reassign(attempt, sidecar, self._clock()):
             reservation = self.accounts.reservations_by_attempt[attempt]
             self._needs_by_unlisted_sidecar[sidecar] = {
@@ -285,6 +286,10 @@
                 peer=sidecar,
             )
 
+    def check_fence(self) -> None:
+        """Read the incarnation's row at once, which shows whether it is fenced."""
+        self._request_commit()
+
     def release(self, attempt: str) -> None:
         """Free the tokens reserved for an attempt that did not run."""
         if self.accounts.release(attempt, self._clock()) is not None:
@@ -361,7 +366,7 @@
             reserves nothing any more.
         """
         if self.fenced:
-            raise self._overload_error("this incarnation is fenced")
+            raise self._fenced_error()
         if self._closing:
             raise self._overload_error("this router is closing")
         if self.accounts.open_attempt_count() + len(self._waiters) >= MAX_OPEN_ATTEMPTS:
@@ -387,6 +392,11 @@
             message, step=STEP, peer=peer, retry_after=RETRY_AFTER_SECONDS
         )
 
+    def _fenced_error(self) -> FencedError:
+        return FencedError(
+            "this incarnation is fenced", step=STEP, retry_after=RETRY_AFTER_SECONDS
+        )
+
     def _insufficient_error(
         self, message: str, budget: BudgetId, retry_after: float | None = None
     ) -> InsufficientBudgetError:
@@ -432,12 +442,13 @@
         )
 
     def _refuse_all(self) -> None:
-        reason = "fenced" if self.fenced else "closing"
         for waiter in self._waiters:
-            self._waiters.fail(
-                waiter,
-                self._overload_error(f"this incarnation is {reason}"),
+            error = (
+                self._fenced_error()
+                if self.fenced
+                else self._overload_error("this incarnation is closing")
             )
+            self._waiters.fail(waiter, error)
 
     def _refuse_exhausted(self) -> None:
         for waiter in self._waiters:
--- a/bluebellshore/errors.py
+++ b/bluebellshore/errors.py
@@ -8,6 +8,7 @@
     "BundleConflictError",
     "BundleError",
     "BluebellshoreError",
+    "FencedError",
     "InsufficientBudgetError",
     "HistoryLostError",
     "LinkError",
@@ -163,3 +164,7 @@
 
 class OverloadError(RefusedError):
     """A refusal at a full queue or limit, or of a deadline that cannot be met."""
+
+
+class FencedError(OverloadError):
+    """A refusal because this process's incarnation was fenced."""
--- a/bluebellshore/router/dispatch.py
+++ b/bluebellshore/router/dispatch.py
@@ -13,6 +13,7 @@
 from bluebellshore.duties.claims import ClaimResult, Claims, ClaimState
 from bluebellshore.errors import (
     BackendServerError,
+    FencedError,
     OverloadError,
     RefusedError,
     RunState,
@@ -245,6 +246,7 @@
                 released = await self._write_in_background(
                     self._claims.release(call.key)
                 )
+                failure.fenced = failure.fenced and released
             if failure.sent:
                 tried.add(IncarnationId(start.sidecar_incarnation))
             if (
@@ -503,7 +505,8 @@
 
 
 def _refusal_of(failure: AttemptFailure, *, ran: bool) -> RefusedError:
-    return RefusedError(
+    error_type = FencedError if failure.fenced else RefusedError
+    return error_type(
         failure.reason,
         step="dispatch",
         peer=failure.peer,
--- a/bluebellshore/router/http.py
+++ b/bluebellshore/router/http.py
@@ -31,7 +31,7 @@
     make_request_key,
     parse_chat_request,
 )
-from bluebellshore.router.dispatch import Dispatcher, make_router_key
+from bluebellshore.router.dispatch import make_router_key
 from bluebellshore.router.jobs import job_from_call
 from bluebellshore.router.problems import error_event, problem_response
 from bluebellshore.router.relay import AnswerSource
@@ -41,6 +41,7 @@
     requested_position,
     service_path,
 )
+from bluebellshore.router.takeover import CallOpener
 
 __all__ = ["Balance", "CallerPort"]
 
@@ -99,7 +100,7 @@
         listen: str,
         incarnation: IncarnationId,
         keeper: BundleKeeper,
-        dispatcher: Dispatcher,
+        dispatcher: CallOpener,
         jobs: Jobs,
         budgets: BudgetReader,
         max_body_bytes: int,
--- a/bluebellshore/router/incarnation.py
+++ b/bluebellshore/router/incarnation.py
@@ -34,6 +34,7 @@
 from bluebellshore.router.jobs import JobRunner
 from bluebellshore.router.lookups import Lookups
 from bluebellshore.router.peers import Peer, PeerPool
+from bluebellshore.router.takeover import Takeover
 from bluebellshore.routing.affinity import rendezvous_order
 from bluebellshore.routing.balancer import (
     Balancer,
@@ -69,6 +70,8 @@
     :ivar operator_address: ``host:port`` for operators.
     :ivar draining: whether the router is stopping.
     :ivar fenced: set when another router has fenced this incarnation.
+    :ivar takeover: opens calls, and passes those of a fenced incarnation on to its
+        successor.
     """
 
     def __init__(self, settings: RouterSettings):
@@ -138,6 +141,9 @@
             retry_share=settings.retry_share,
             credit_bytes=settings.credit_bytes,
         )
+        self.takeover = Takeover(
+            self._dispatcher, check_fence=self._accountant.check_fence
+        )
         self._jobs = Jobs(self._platform, self._platform)
         self._duties = RouterDuties(
             platform=self._platform,
@@ -167,7 +173,7 @@
             listen=settings.listen,
             incarnation=self.incarnation,
             keeper=self._keeper,
-            dispatcher=self._dispatcher,
+            dispatcher=self.takeover,
             jobs=self._jobs,
             budgets=self,
             max_body_bytes=settings.max_body_bytes,
@@ -216,6 +222,7 @@
     async def stop(self) -> None:
         """Announce that the router is leaving, then drain and shut down."""
         self.draining = True
+        self.takeover.give_up()
         await self._announcer.announce()
         await self.finish()
 
--- a/bluebellshore/router/relay.py
+++ b/bluebellshore/router/relay.py
@@ -52,6 +52,7 @@
         unavailable; the sidecar may be tried again.
     :param retry_after: seconds after which the caller may retry.
     :param may_retry: whether another attempt may succeed.
+    :param fenced: whether the sidecar refused because this incarnation is fenced.
     :param peer: instance id of the sidecar.
     """
 
@@ -64,6 +65,7 @@
     sent: bool = True
     retry_after: float = RETRY_AFTER_SECONDS
     may_retry: bool = True
+    fenced: bool = False
     peer: str = ""
 
 
@@ -263,6 +265,7 @@
         ran=refused.run != pb.NOT_RUN,
         retry_after=refused.retry_after,
         may_retry=refused.status in RETRIED_STATUSES and not refused.fenced,
+        fenced=refused.fenced,
         sidecar_specific=refused.elsewhere,
         sent=event.sent,
         peer=peer.instance_id,
--- a/bluebellshore/router/router.py
+++ b/bluebellshore/router/router.py
@@ -15,7 +15,8 @@
     """Serves callers, and starts a new incarnation when the current one is fenced.
 
     Other routers fence an incarnation and reclaim its tokens when it was paused or
-    disconnected for too long. Its open requests end under the old incarnation.
+    disconnected for too long. Its open requests end under the old incarnation; those
+    that it can't start any more wait for the new one.
     """
 
     def __init__(self, settings: RouterSettings):
@@ -54,8 +55,9 @@
             await old.fenced.wait()
             new = self._new_incarnation()
             await new.prepare(await old.hand_over_operator_port())
-            # Until now the old incarnation refused requests, so that callers did not
-            # find a closed port.
+            # Until now the old incarnation accepted connections, so that callers did
+            # not find a closed port. Its requests waited for the new one.
+            old.takeover.pass_to(new.takeover)
             await old.release_caller_port()
             await new.open_caller_port()
             self._incarnation = new
--- a/tests/test_failures_incarnations.py
+++ b/tests/test_failures_incarnations.py
@@ -5,7 +5,7 @@
 
 from bluebellshore.load.fleet import wait_until
 from bluebellshore.load.results import Call, CallKind, CallOutcome, RetryPolicy
-from tests.system import CHAT, open_system
+from tests.system import CHAT, ORDERS, chat_call, open_system
 
 PROMPT_TOKENS = 1
 
@@ -45,6 +45,38 @@
             self.assertEqual(await other.terminate(), 0)
             self.assertEqual(await paused.terminate(), 0)
 
+    async def test_woken_router_refuses_nothing_while_its_successor_starts(self):
+        async with open_system(engines=1, services=1) as system:
+            paused = system.routers[0]
+            caller = system.caller(
+                urls=[f"http://{paused.address}"], retry=RetryPolicy(attempts=1)
+            )
+            # Its connection stays open, to the port of the first incarnation.
+            results = [await caller.call(chat_call("before", 5, key="before"))]
+            old = (await system.state(paused))["incarnation"]
+            paused.freeze()
+
+            async def fenced() -> bool:
+                rows = await self.rows(system, "incarnation/")
+                row = rows.get(f"incarnation/{old}", b"closed")
+                return b"fenced" in row or b"closed" in row
+
+            await wait_until(fenced, f"the fence of {old}")
+            paused.wake()
+            for number in range(4):
+                calls = [
+                    chat_call("waking", 5, key=f"chat-{number}"),
+                    chat_call("waking", 5),
+                    Call(CallKind.ORDER, ORDERS, "cord", f"order-{number}"),
+                ]
+                results += await asyncio.gather(*map(caller.call, calls))
+            for result in results:
+                self.assertEqual(result.outcome, CallOutcome.WHOLE, result)
+                self.assertEqual(result.cut_tries, 0, result)
+            counts = await system.executions()
+            self.assertEqual(set(counts.values()), {1}, counts)
+            self.assertNotEqual((await system.state(paused))["incarnation"], old)
+
     async def test_killed_router_loses_no_bill_and_its_tokens_return(self):
         # Runs outlast their router, and none is cut off as an orphan.
         async with open_system(
