Log and count where the tokens of a customer are, and those spent without a bill

The recovery of an earlier incarnation wrote one line, `reclaimed`, after all its budgets were settled, with the tokens counted as spent in its text only; not for how long the incarnation was absent, nor why its caps did not bound the loss. A recovery whose transaction got no answer, or that another failed call broke off, wrote no line at all for what it had settled. Bills had no line when they reached the budget's row, a loan did not name its lender, and what a restored store lacked was counted as spent silently.

Change, in what is logged and counted only: `allotment` lines `billed` and `counted-spent`; the latter names the cause, the predecessor, how long it was absent, the time until its tokens were settled, its cap and the cap's growth. Each `allotment` line has what the row says after the change. Each recovered batch is reported once, also if its answer is lost; one more read of the incarnation's row finds out, after such a loss only. Metric `tokens_spent_without_bill_total` by reason (six words, no customer).

`billed` and `counted-spent` add up to `settled` in a test with random kills.

--- a/bluebellshore/budget/predecessor.py
+++ b/bluebellshore/budget/predecessor.py
@@ -18,6 +18,7 @@
     encode_row,
     incarnation_key,
 )
+from bluebellshore.budget.unbilled import BudgetTotals, SettledAbsence, UnbilledReason
 from bluebellshore.errors import TransactionConflictError
 from bluebellshore.ids import BudgetId, Epoch, IncarnationId, InstanceId, Tokens
 from bluebellshore.store.interface import (
@@ -50,6 +51,19 @@
     returned: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
 
 
+class _SentBatch(msgspec.Struct, frozen=True):
+    """A transaction whose answer is not known yet.
+
+    :param recoveries: number of recoveries in the incarnation's row once it is
+        committed.
+    :param seen_seconds: last contact of the incarnation with the store.
+    """
+
+    absence: SettledAbsence
+    recoveries: int
+    seen_seconds: float
+
+
 class PredecessorRecovery:
     """Fences earlier incarnations of an instance and settles their allotments.
 
@@ -77,6 +91,9 @@
         rng: random.Random | None = None,
         started_at: float = math.inf,
     ):
+        #: Called once with each transaction that is known to be committed.
+        self.on_settled: Callable[[SettledAbsence], None] = lambda absence: None
+        self._sent_batch: _SentBatch | None = None
         self._started_at = started_at
         self._rng = rng or random.Random()
         self._store_time = store_time
@@ -96,6 +113,7 @@
         """
         self._caps_hold = caps_hold
         recovered = []
+        await self._resolve_sent_batch()
         rows = await self._incarnation_rows()
         if self._died_before is None and (store_time := self._store_time()):
             # An upper bound of the store's time when this process started.
@@ -132,6 +150,7 @@
                     return
                 backoff = INITIAL_BACKOFF_SECONDS
             except TransactionConflictError:  # other routers write the budgets' rows
+                self._sent_batch = None
                 batch_size = max(1, batch_size // 2)
                 await asyncio.sleep(self._rng.uniform(0, backoff))
                 backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
@@ -151,12 +170,14 @@
         rows_by_budget = await self._budget_rows(result.incarnation, incarnation_row)
         spent: dict[BudgetId, Tokens] = {}
         returned: dict[BudgetId, Tokens] = {}
+        totals: dict[BudgetId, BudgetTotals] = {}
         writes = []
         for budget, (stored, budget_row) in list(rows_by_budget.items())[:batch_size]:
             own = budget_row.allotments.pop(result.incarnation)
             spent[budget] = self._spent_at_most(own, budget, incarnation_row)
             returned[budget] = Tokens(own.outstanding - spent[budget])
             budget_row.settled = Tokens(budget_row.settled + spent[budget])
+            totals[budget] = budget_row.totals()
             writes.append(Write(stored.key, stored.version, encode_row(budget_row)))
         done = len(writes) == len(rows_by_budget)
         incarnation_row.state = IncarnationState.FENCED
@@ -165,7 +186,23 @@
         incarnation_write = Write(
             key, row.version, None if done else encode_row(incarnation_row)
         )
+        absence = SettledAbsence(
+            result.incarnation,
+            self._unbilled_reason(incarnation_row),
+            self._seconds_since(incarnation_row.seen_seconds, self._died_before),
+            None,
+            incarnation_row.lapse_seconds,
+            spent,
+            returned,
+            incarnation_row.caps,
+            incarnation_row.growth,
+            totals,
+        )
+        self._sent_batch = _SentBatch(
+            absence, incarnation_row.recoveries, incarnation_row.seen_seconds
+        )
         await self._table.transact([incarnation_write, *writes])
+        self._report_sent_batch()
         result.spent |= spent
         result.returned |= returned
         return done
@@ -173,12 +210,58 @@
     def _spent_at_most(
         self, own: Allotment, budget: BudgetId, incarnation_row: IncarnationRow
     ) -> Tokens:
-        if not self._caps_hold:
-            return own.outstanding
-        if not incarnation_row.caps_hold(self._died_before):
+        if self._unbilled_reason(incarnation_row) is not UnbilledReason.WITHIN_CAPS:
             return own.outstanding
         return min(own.outstanding, incarnation_row.cap_at(budget, self._died_before))
 
+    def _unbilled_reason(self, incarnation_row: IncarnationRow) -> UnbilledReason:
+        """Return what decides how many tokens count as spent."""
+        if not self._caps_hold:
+            return UnbilledReason.STORE_RESTORED
+        if not incarnation_row.caps_hold(self._died_before):
+            absent = self._seconds_since(
+                incarnation_row.seen_seconds, self._died_before
+            )
+            if absent is None or absent < 0:
+                return UnbilledReason.TIME_UNKNOWN
+            return UnbilledReason.CAPS_LAPSED
+        return UnbilledReason.WITHIN_CAPS
+
+    @staticmethod
+    def _seconds_since(
+        seen_seconds: float, store_seconds: float | None
+    ) -> float | None:
+        """Return the time since an incarnation's last contact, None if unknown."""
+        if store_seconds is None or not seen_seconds:
+            return None
+        return store_seconds - seen_seconds
+
+    def _report_sent_batch(self) -> None:
+        """Report the transaction that was sent last as committed."""
+        sent, self._sent_batch = self._sent_batch, None
+        store_time = self._store_time()
+        now = store_time and store_time.store_seconds
+        away = self._seconds_since(sent.seen_seconds, now)
+        self.on_settled(msgspec.structs.replace(sent.absence, away_seconds=away))
+
+    async def _resolve_sent_batch(self) -> None:
+        """Find out whether a transaction without an answer was committed.
+
+        Its row then shows the number of the recovery, or is gone.
+        """
+        if self._sent_batch is None:
+            return
+        key = incarnation_key(self._sent_batch.absence.incarnation)
+        row = (await self._table.read([key])).get(key)
+        incarnation_row = decode_row(row, IncarnationRow)
+        if (
+            incarnation_row is None
+            or incarnation_row.recoveries >= self._sent_batch.recoveries
+        ):
+            self._report_sent_batch()
+        else:
+            self._sent_batch = None
+
     async def _budget_rows(
         self, incarnation: IncarnationId, incarnation_row: IncarnationRow
     ) -> dict[BudgetId, tuple[Row, BudgetRow]]:
--- a/bluebellshore/budget/rows.py
+++ b/bluebellshore/budget/rows.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bluebellshore.budget.unbilled import BudgetTotals
 from bluebellshore.decoding import decode_json
 from bluebellshore.ids import (
     BudgetId,
@@ -113,6 +114,10 @@
         held = sum(a.outstanding for a in self.allotments.values())
         return Tokens(self.settled + held)
 
+    def totals(self) -> BudgetTotals:
+        """Return the tokens that are spent, and those held by all routers."""
+        return BudgetTotals(self.settled, Tokens(self.used() - self.settled))
+
     def unallotted(self, prepaid_total: Tokens) -> Tokens:
         """Return the tokens that may still be granted."""
         return Tokens(max(0, prepaid_total - self.used()))
--- a/bluebellshore/budget/transaction_builder.py
+++ b/bluebellshore/budget/transaction_builder.py
@@ -26,6 +26,7 @@
     ledger_key,
 )
 from bluebellshore.budget.settling import PendingBills, should_settle
+from bluebellshore.budget.unbilled import BudgetTotals
 from bluebellshore.ids import BudgetId, IncarnationId, Tokens
 from bluebellshore.store.interface import (
     ABSENT,
@@ -130,6 +131,9 @@
     :param limits: limits that the incarnation's row has once it is committed.
     :param repeated: changes of earlier transactions that a restored store lacks and
         that it makes again, by budget.
+    :param recounted: tokens that it counts as spent, as a restored store lacks what
+        was drawn, by budget.
+    :param totals: what the rows that it writes say then, by budget.
     """
 
     sequence: int
@@ -143,6 +147,8 @@
 
     limits: SpendingLimits = SpendingLimits([], {})
     repeated: dict[BudgetId, BudgetChange] = msgspec.field(default_factory=dict)
+    recounted: dict[BudgetId, Tokens] = msgspec.field(default_factory=dict)
+    totals: dict[BudgetId, BudgetTotals] = msgspec.field(default_factory=dict)
 
     def changes(self) -> dict[BudgetId, BudgetChange]:
         """Return how the transaction changes budgets, but for repeated changes."""
@@ -389,7 +395,9 @@
         budget_row = decode_row(row, BudgetRow) or BudgetRow()
         before = encode_uncompressed(budget_row)
         version = ABSENT if row is None else row.version
+        settled_before = budget_row.settled
         self.recount.compare(budget, budget_row, version, now)
+        recounted = Tokens(budget_row.settled - settled_before)
         own = budget_row.allotments.setdefault(self._incarnation, Allotment())
         wanted = own.wanted
         prepaid_total = self._prepaid(budget) or Tokens(0)
@@ -425,6 +433,9 @@
             del budget_row.allotments[self._incarnation]
         if encode_uncompressed(budget_row) != before:
             own.sequence = transaction.sequence
+            if recounted:
+                transaction.recounted[budget] = recounted
+            transaction.totals[budget] = budget_row.totals()
             key = budget_key(budget)
             transaction.writes.append(Write(key, version, encode_row(budget_row)))
 
--- a/bluebellshore/decisions/changes.py
+++ b/bluebellshore/decisions/changes.py
@@ -14,6 +14,14 @@
 __all__ = ["ChangeLines"]
 
 
+#: Changes that leave a customer with fewer tokens than it had.
+_LOSSES = (
+    AllotmentOutcome.DENIED,
+    AllotmentOutcome.USED_UP,
+    AllotmentOutcome.COUNTED_SPENT,
+)
+
+
 class ChangeLines(RateLimitedLog):
     """Methods that log state changes which a process observes, and its lifecycle.
 
@@ -157,6 +165,7 @@
         prepaid: int | None = None,
         row_version: int | None = None,
         reason: str = "",
+        inputs: Inputs | None = None,
     ) -> None:
         """Log a change of the part of a customer's budget allotted to this router.
 
@@ -164,6 +173,7 @@
         :param balance: tokens left to this router after the change.
         :param prepaid: tokens that the customer has paid for in all.
         :param row_version: version of the budget's row.
+        :param inputs: what the budget's row says then, and what the change is based on.
         """
         self.write(
             Kind.ALLOTMENT,
@@ -175,9 +185,9 @@
                 "prepaid": prepaid,
                 "row_version": row_version,
                 "reason": reason or None,
+                "inputs": inputs or None,
             },
-            high_priority=outcome
-            in (AllotmentOutcome.DENIED, AllotmentOutcome.USED_UP),
+            high_priority=outcome in _LOSSES,
         )
 
     def rollout(
--- a/bluebellshore/decisions/kinds.py
+++ b/bluebellshore/decisions/kinds.py
@@ -111,6 +111,10 @@
     RETURNED = "returned"
     #: Tokens of an earlier incarnation are free again.
     RECLAIMED = "reclaimed"
+    #: Bills are added to the budget's row.
+    BILLED = "billed"
+    #: Tokens count as spent though no bill says so.
+    COUNTED_SPENT = "counted-spent"
 
 
 class Belief(Enum):
--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -237,6 +237,8 @@
         self._predecessors = PredecessorRecovery(
             table, self.incarnation, instance_id, store_time, rng, started_at
         )
+        self._predecessors.on_settled = self._budget_log.record_absence
+        self.loan_server.on_expired = self._budget_log.record_expired_loan
         self._reservations_by_attempt: dict[str, _Reservation] = {}
         self._name_count = 0
         self._tasks: list[asyncio.Task] = []
@@ -302,8 +304,9 @@
                 )
                 raise refusal from error
             raise
-        lent = sum(reservation.lent_by_router.values())
-        self._budget_log.record_reservation(attempt_id, customer, tokens, lent)
+        self._budget_log.record_reservation(
+            attempt_id, customer, tokens, reservation.lent_by_router
+        )
 
     def settle(self, attempt_id: str, tokens: Tokens) -> None:
         """Count an attempt's cost, at most what was reserved, and free the rest."""
@@ -433,18 +436,11 @@
     async def _recover_all(self) -> None:
         while True:
             try:
-                recovered = await self._predecessors.recover(caps_hold=self._caps_hold)
-                break
+                await self._predecessors.recover(caps_hold=self._caps_hold)
+                return
             except PlatformError as error:
                 self._budget_log.log.notice("predecessors", str(error))
             await asyncio.sleep(RECOVERY_RETRY_SECONDS)
-        for predecessor in recovered:
-            for budget, tokens in predecessor.returned.items():
-                spent = predecessor.spent.get(budget, 0)
-                reason = (
-                    f"{predecessor.incarnation} ended; {spent} tokens count as spent"
-                )
-                self._budget_log.record_reclaimed(budget, tokens, reason)
 
     async def _preallocate(self) -> None:
         """Draw allotments for customers that are new, and expire overdue loans."""
--- a/bluebellshore/entry/loans.py
+++ b/bluebellshore/entry/loans.py
@@ -142,6 +142,8 @@
         log: DecisionLog | None = None,
     ):
         self._log = log or silent_log()
+        #: Called with the tokens of each loan that expires.
+        self.on_expired: Callable[[Tokens], None] = lambda tokens: None
         self.lent_tokens = 0
         self._accounts = accounts
         self._accountant = accountant
@@ -248,6 +250,7 @@
                     tokens=loan.tokens,
                 )
                 self.repay(name, loan.tokens)
+                self.on_expired(loan.tokens)
         for name, cancelled_at in list(self._cancelled_at_by_name.items()):
             if cancelled_at < before:
                 del self._cancelled_at_by_name[name]
--- a/bluebellshore/entry/metrics.py
+++ b/bluebellshore/entry/metrics.py
@@ -74,6 +74,11 @@
         self._tokens = self._counter(
             "tokens", "Tokens of customers by what became of them.", "state"
         )
+        self._unbilled_tokens = self._counter(
+            "tokens_spent_without_bill",
+            "Tokens counted as spent though no bill says so.",
+            "reason",
+        )
         self._lines = self._counter(
             "log_lines_lost", "Log lines that were not written.", "cause"
         )
@@ -191,6 +196,14 @@
         """Count tokens that a request needed but that could not be reserved."""
         self._tokens.labels("short").inc(tokens)
 
+    def tokens_spent_without_bill(self, reason: str, tokens: int) -> None:
+        """Count tokens that count as spent though no bill says so.
+
+        :param reason: a value of `UnbilledReason`.
+        """
+        value = self._bounded_value("unbilled_reason", reason)
+        self._unbilled_tokens.labels(value).inc(tokens)
+
     def set_lost_lines(self, *, left_out: int, dropped: int) -> None:
         """Set the counts of lines that the log did not write since the start.
 
--- a/tests/test_budget_replay.py
+++ b/tests/test_budget_replay.py
@@ -19,6 +19,7 @@
 )
 from bluebellshore.budget.rows import Allotment, BudgetRow, IncarnationRow
 from bluebellshore.budget.transaction_builder import CommitRequest, Demand
+from bluebellshore.budget.unbilled import BudgetTotals
 from bluebellshore.ids import BudgetId
 from bluebellshore.platform.store import PlatformStore
 from bluebellshore.settings import PlatformSettings
@@ -221,6 +222,20 @@
         await self.draw(first, 2_000, 2.0 + RESTORE_HOLD_SECONDS)
         self.assertEqual(2_000, accounts.account(A).free)
 
+    async def test_transaction_names_the_tokens_that_a_restore_lost(self):
+        first, _ = await self.lose_the_draw_of_a_killed_router()
+        recounted, totals = [], []
+
+        def record(transaction):
+            recounted.extend(transaction.recounted.values())
+            totals.append(transaction.totals[A])
+
+        first.on_applied = record
+        await self.draw(first, 1_400, 1.0 + RESTORE_HOLD_SECONDS)
+        self.assertEqual(1, len(recounted))
+        self.assertEqual([BudgetTotals(recounted[0], 1_500)], totals)
+        self.assertGreater(recounted[0], 0)
+
     async def test_router_that_starts_after_a_restore_draws_what_a_killed_one_had(self):
         first, _ = await self.lose_the_draw_of_a_killed_router()
         started, accounts = await self.open("r3.a")
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -21,6 +21,7 @@
 from bluebellshore.decisions import DecisionLog
 from bluebellshore.entry.budgets import CustomerBudgets
 from bluebellshore.entry.loans import Loan
+from bluebellshore.entry.metrics import EntryMetrics
 from bluebellshore.errors import (
     InsufficientBudgetError,
     LinkError,
@@ -194,8 +195,12 @@
     :ivar overspent: moments at which a budget was exceeded.
     """
 
-    def __init__(self, prepaid, seed=1, loans=False, caps=False):
+    def __init__(self, prepaid, seed=1, loans=False, caps=False, logs=False):
         self.caps = caps
+        #: Lines and metrics of routers, those that were killed as well, with `logs`.
+        self.logs = logs
+        self.lines = []
+        self.metrics = []
         self.rng = random.Random(seed)
         self.loans = loans
         self.peers = {}
@@ -223,6 +228,7 @@
             peers=self.peers[name] if self.loans else None,
             store_time=(lambda: client.time) if self.caps else lambda: None,
             started_at=asyncio.get_running_loop().time(),
+            **(self._make_logs(f"{name}.{self.start_count}") if self.logs else {}),
         )
         self.clients[name], self.routers[name] = client, router
         await router.open()
@@ -231,6 +237,14 @@
             router._tasks.append(task)
         return router
 
+    def _make_logs(self, incarnation):
+        def append(line):
+            self.lines.append({"incarnation": incarnation, **line})
+
+        self.metrics.append(EntryMetrics())
+        clock = asyncio.get_running_loop().time
+        return {"log": DecisionLog(append, clock=clock), "metrics": self.metrics[-1]}
+
     async def _feed(self, router, client):
         seen = {}
         while True:
--- a/tests/test_entry_metrics.py
+++ b/tests/test_entry_metrics.py
@@ -41,6 +41,7 @@
     metrics.tokens_reserved(100)
     metrics.tokens_settled(70)
     metrics.tokens_refused(40)
+    metrics.tokens_spent_without_bill(f"caps-lapsed{suffix}", 30)
     metrics.set_lost_lines(left_out=5, dropped=2)
     metrics.set_requests(active=4, waiting=1)
     metrics.set_fleet(peers=3, servers=9, suspected=1)
@@ -62,6 +63,7 @@
             ("tokens_total", ("state", "reserved")): 100,
             ("tokens_total", ("state", "settled")): 70,
             ("tokens_total", ("state", "short")): 40,
+            ("tokens_spent_without_bill_total", ("reason", "caps-lapsed")): 30,
             ("log_lines_lost_total", ("cause", "left-out")): 5,
             ("log_lines_lost_total", ("cause", "dropped")): 2,
             ("first_event_seconds_bucket", ("le", "0.35"), stream): 1,
