Name in explain the absences that a 402 or 503 is due to

Change: for a request whose tokens were short, a note names the tokens of the customer that were counted as spent before, if they would have covered what it lacked; for a 503 also a router that was absent at the time with enough tokens. Neither is noted for a 503 while the store did not answer, nor for other customers or later losses. `billed` lines of the customer are no steps of a story.

Lines of processes are compared by wall clock; instances whose clocks differ may get a wrong note, which was not measured.

--- a/bluebellshore/decisions/story.py
+++ b/bluebellshore/decisions/story.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from bluebellshore.decisions.kinds import Belief, Contact, Kind
+from bluebellshore.decisions.absences import absence_notes
+from bluebellshore.decisions.kinds import AllotmentOutcome, Belief, Contact, Kind
 from bluebellshore.decisions.reading import ProcessId, Record
 
 __all__ = ["ProcessState", "Step", "Story", "tell_story"]
@@ -79,7 +80,8 @@
     """Everything that the logs report about one request.
 
     :param steps: in order of time; the steps of one process keep their order.
-    :param notes: what makes the story unreliable: clock shifts and missing lines.
+    :param notes: what makes the story unreliable, i.e. clock shifts and missing lines,
+        and absences of routers that caused a refusal.
     """
 
     request: str
@@ -167,6 +169,9 @@
             step_lists.append(_process_steps(records))
             story.notes += _gap_notes(process, records)
             story.notes += _missing_end_notes(process, records, records_by_process)
+    story.notes += absence_notes(
+        record for records in records_by_process.values() for record in records
+    )
     story.steps = list(_merge_steps(step_lists))
     return story
 
@@ -197,10 +202,14 @@
         is_own = bool(record.request)
         if not is_own:
             state.apply(record)
-        is_related_change = index > request_indexes[0] and (
-            record.kind in _ALWAYS_SHOWN_KINDS
-            or record.fields.get("server") in servers
-            or record.fields.get("customer") == customer
+        is_related_change = (
+            index > request_indexes[0]
+            and record.fields.get("outcome") != AllotmentOutcome.BILLED.value
+            and (
+                record.kind in _ALWAYS_SHOWN_KINDS
+                or record.fields.get("server") in servers
+                or record.fields.get("customer") == customer
+            )
         )
         if is_own or is_related_change:
             steps.append(Step(record, state.snapshot(record, customer), is_own))
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -243,6 +243,126 @@
         self.assertTrue(str(steps[0].record.process).endswith("0.log"))
 
 
+class AbsenceTest(LogFilesTestCase):
+    """An absent router left a request at another one without tokens."""
+
+    def successor(self, outcome: AllotmentOutcome, tokens: int) -> FakeProcess:
+        """Return a process that recovered `tokens` of its predecessor at 10 s."""
+        successor = FakeProcess("edge-2")
+        successor.after(10).allotment(
+            "acme",
+            outcome,
+            tokens=tokens,
+            balance=0,
+            reason="edge-2.0 was absent for 3.7 s, and its caps hold for 2.2 s",
+            inputs={"predecessor": "edge-2.0", "away_seconds": 4.5},
+        )
+        return successor
+
+    def notes(
+        self,
+        status: int,
+        after_seconds: float,
+        *,
+        tokens: int = 500,
+        outcome: AllotmentOutcome = AllotmentOutcome.COUNTED_SPENT,
+        customer: str = "acme",
+        **inputs: object,
+    ) -> list[str]:
+        """Return the notes on a request that lacked 30 tokens.
+
+        :param after_seconds: time of the refusal, on the same clock.
+        :param tokens: tokens of the predecessor.
+        """
+        router = FakeProcess("edge-1")
+        inputs = {"cover": 70, "balance": 70, "store_lost": False, **inputs}
+        router.after(after_seconds).budget(
+            "a-1",
+            customer=customer,
+            outcome=BudgetOutcome.SHORT,
+            tokens=100,
+            balance=70,
+            balance_age_seconds=0.1,
+            inputs=inputs,
+        )
+        router.log.refused("a-1", status=status, reason="x", inputs=inputs)
+        successor = self.successor(outcome, tokens)
+        return self.explain("a-1", successor.lines, router.lines).story.notes
+
+    def test_402_names_the_absence_whose_tokens_would_have_covered_it(self):
+        [note] = self.notes(402, 12.0)
+        self.assertIn("edge-1.1: 30 tokens of acme were lacking", note)
+        self.assertIn("500 had been counted as spent without a bill", note)
+        self.assertIn("500 2.0 s before (edge-2.0 was absent for 3.7 s", note)
+
+    def test_402_that_the_absence_did_not_cause_names_none(self):
+        self.assertEqual(self.notes(402, 12.0, tokens=29), [])
+        self.assertEqual(self.notes(402, 9.0), [])
+        self.assertEqual(self.notes(402, 12.0, customer="bolt"), [])
+        self.assertEqual(self.notes(402, 12.0, cover=100), [])
+        reclaimed = AllotmentOutcome.RECLAIMED
+        self.assertEqual(self.notes(402, 12.0, outcome=reclaimed), [])
+        self.assertEqual(self.notes(404, 12.0), [])
+
+    def test_503_names_a_router_that_was_absent_at_the_time(self):
+        for outcome in (AllotmentOutcome.RECLAIMED, AllotmentOutcome.COUNTED_SPENT):
+            [note] = self.notes(503, 8.0, outcome=outcome)
+            self.assertIn("500 were with edge-2.0, which was absent", note)
+            self.assertIn("2.0 s later", note)
+
+    def test_503_names_tokens_counted_as_spent_before(self):
+        [note] = self.notes(503, 12.0)
+        self.assertIn("500 had been counted as spent without a bill", note)
+
+    def test_503_that_no_absence_caused_names_none(self):
+        self.assertEqual(self.notes(503, 5.0), [])
+        self.assertEqual(self.notes(503, 8.0, tokens=29), [])
+        self.assertEqual(self.notes(503, 8.0, store_lost=True), [])
+        self.assertEqual(self.notes(503, 12.0, store_lost=True), [])
+        self.assertEqual(self.notes(503, 8.0, balance=100), [])
+
+    def test_lines_with_odd_values_are_no_absence(self):
+        successor = FakeProcess("edge-2")
+        for inputs, tokens in (({"away_seconds": "x"}, 500), ({"a": 1}, [5])):
+            successor.log.allotment(
+                "acme",
+                AllotmentOutcome.COUNTED_SPENT,
+                tokens=tokens,
+                balance=0,
+                inputs=inputs,
+            )
+        router = FakeProcess("edge-1")
+        router.log.budget(
+            "a-1",
+            customer="acme",
+            outcome=BudgetOutcome.SHORT,
+            tokens="many",
+            balance=0,
+            balance_age_seconds=None,
+            inputs={"cover": None},
+        )
+        router.log.refused("a-1", status=402, reason="x")
+        story = self.explain("a-1", successor.lines, router.lines).story
+        self.assertEqual(story.notes, [])
+
+    def test_bills_of_the_customer_are_no_step(self):
+        router = FakeProcess("edge-1")
+        log_placed(router.log, "a-1", "s-1")
+        for outcome in (AllotmentOutcome.BILLED, AllotmentOutcome.GRANTED):
+            router.log.allotment("acme", outcome, tokens=9, balance=5)
+        router.log.budget(
+            "a-1",
+            customer="acme",
+            outcome=BudgetOutcome.SETTLED,
+            tokens=9,
+            balance=5,
+            balance_age_seconds=0.1,
+        )
+        steps = self.explain("a-1", router.lines).story.steps
+        kinds = [step.record.fields.get("outcome") for step in steps]
+        self.assertEqual(kinds, [None, "granted", "settled"])
+
+
 class DamageTest(LogFilesTestCase):
     def test_damaged_lines_are_counted_and_skipped(self):
         lines = process_that_refused().lines
