Pass an order on to the next incarnation only once its claim is released

Change: the refusal is made from a copy. Tests: test_router_fenced_orders, which fails before (FrozenInstanceError).

--- a/bluebellshore/router/dispatch.py
+++ b/bluebellshore/router/dispatch.py
@@ -5,6 +5,7 @@
 import itertools
 from collections import defaultdict
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 
 import eliot
 
@@ -246,7 +247,6 @@
                 released = await self._write_in_background(
                     self._claims.release(call.key)
                 )
-                failure.fenced = failure.fenced and released
             if failure.sent:
                 tried.add(IncarnationId(start.sidecar_incarnation))
             if (
@@ -254,6 +254,8 @@
                 or not failure.sidecar_specific
                 or attempt_number == MAX_ATTEMPTS
             ):
+                # The successor of a fenced incarnation claims the call anew.
+                failure = replace(failure, fenced=failure.fenced and released)
                 raise _refusal_of(failure, ran=failure.ran)
         raise AssertionError("unreachable")
 
