Log a fenced incarnation that can't be replaced

When a router with sidecars is fenced, a task starts its next incarnation. An error of that task (a port that can't be bound, say) was kept in the task and thrown away at the stop: the router refused every request until a restart, and its log ended with "fenced". What starts anew is as before: nothing; that remains.

Change: a line in the log.

--- a/bluebellshore/router/router.py
+++ b/bluebellshore/router/router.py
@@ -33,7 +33,7 @@
         await self._incarnation.start()
         self.address = self._incarnation.address
         self.operator_address = self._incarnation.operator_address
-        self._fence_watcher = asyncio.ensure_future(self._replace_when_fenced())
+        self._fence_watcher = asyncio.ensure_future(self._watch_fence())
 
     async def stop(self) -> None:
         """Drain all incarnations, settle all bills and return unused tokens."""
@@ -49,6 +49,14 @@
         )
         return RouterIncarnation(settings)
 
+    async def _watch_fence(self) -> None:
+        try:
+            await self._replace_when_fenced()
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            eliot.log_message("incarnation_not_replaced", reason=reason)
+            raise
+
     async def _replace_when_fenced(self) -> None:
         while True:
             old = self._incarnation
--- a/tests/test_router_incarnation.py
+++ b/tests/test_router_incarnation.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterator
 from unittest import mock
 
+import eliot
+
 from bluebellshore.budget import Accountant, FixedPolicy
 from bluebellshore.budget.rows import budget_key
 from bluebellshore.errors import RefusedError
@@ -14,6 +16,7 @@
 from bluebellshore.load.fleet import wait_until
 from bluebellshore.membership import Announcer
 from bluebellshore.router.incarnation import RouterIncarnation
+from bluebellshore.router.router import Router
 from bluebellshore.settings import RouterSettings
 from bluebellshore.store import ABSENT, InstanceRole, Write
 from bluebellshore.store.memory import MemoryTable
@@ -79,6 +82,20 @@
         self.run_in_background(announcer.run())
         await wait_until(lambda: announce.await_count > 3, "further announcements")
 
+    async def test_incarnation_that_is_not_replaced_leaves_no_line_in_the_log(self):
+        messages = []
+        eliot.add_destinations(messages.append)
+        self.addCleanup(eliot.remove_destination, messages.append)
+        router = Router(SETTINGS)
+        fenced = mock.Mock(fenced=asyncio.Event())
+        fenced.fenced.set()
+        fenced.hand_over_operator_port = mock.AsyncMock(side_effect=OSError("closed"))
+        router._incarnation = fenced
+        with self.assertRaises(OSError):
+            await router._watch_fence()
+        types = [message["message_type"] for message in messages]
+        self.assertIn("incarnation_not_replaced", types)
+
 
 if __name__ == "__main__":
     unittest.main()
