Fail a measurement or soak whose own background task failed

watch_memory, the kept connections of a soak and the lapse of its servers' entries ran in tasks that were cancelled at the end, with their errors thrown away. A sampler that failed reported the growth that it had seen until then, and a kept connection that failed was checked no more; both passed.

Change: cancellation.cancel ends such tasks and raises their errors.

--- a/bluebellshore/cancellation.py
+++ b/bluebellshore/cancellation.py
@@ -1,11 +1,11 @@
-"""Tells the cancellation of a task from that of something it awaits."""
+"""Cancels tasks, and tells that from the cancellation of something they await."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
 
 from bluebellshore.errors import LinkError
 
-__all__ = ["is_cancelling", "run_together"]
+__all__ = ["cancel", "is_cancelling", "run_together"]
 
 
 def is_cancelling() -> bool:
@@ -38,3 +38,15 @@
         if is_cancelling():
             raise
         raise LinkError("what the loop awaited was cancelled", step="loop") from error
+
+
+async def cancel(*tasks: asyncio.Task) -> None:
+    """Cancel tasks and wait until they have ended.
+
+    :raises Exception: a task had failed; the error of the first one.
+    """
+    for task in tasks:
+        task.cancel()
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(result, Exception):
+            raise result
--- a/bluebellshore/load/runs.py
+++ b/bluebellshore/load/runs.py
@@ -10,6 +10,7 @@
 import psutil
 
 from bluebellshore.bundle.model import Bundle, Criteria, Move
+from bluebellshore.cancellation import cancel
 from bluebellshore.ids import BundleNumber, MoveId, RouteName, VersionName
 from bluebellshore.load.audit import (
     Execution,
@@ -232,8 +233,7 @@
     try:
         yield memory
     finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await cancel(task)
 
 
 def _growth(process: ManagedProcess, first_by_pid: dict[int, int]) -> int:
--- a/bluebellshore/soak/callers.py
+++ b/bluebellshore/soak/callers.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from bluebellshore.cancellation import cancel
 from bluebellshore.platform.names import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
@@ -175,7 +176,7 @@
                 for task in kept:
                     task.cancel()
                 await asyncio.gather(*tasks)
-                await asyncio.gather(*kept, return_exceptions=True)
+                await cancel(*kept)
 
     async def ask(self, router: Router, kind: Kind, number: int = 0) -> Sent:
         """Send one request on a connection of its own."""
--- a/bluebellshore/soak/system.py
+++ b/bluebellshore/soak/system.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import AsyncIterator
 
+from bluebellshore.cancellation import cancel
 from bluebellshore.load.process import PACKAGE_PARENT, ManagedProcess
 from bluebellshore.platform.settings import PEER_BIND_VARIABLE, SETTINGS_VARIABLE
 from bluebellshore.settings import PlatformSettings, ProxySettings
@@ -415,6 +416,7 @@
             finally:
                 lapses.cancel()
                 await system._stop()
+                await cancel(lapses)
 
     async def _start(self) -> None:
         await self.store.start()
--- a/tests/test_load_runs.py
+++ b/tests/test_load_runs.py
@@ -1,14 +1,18 @@
 """Tests of planned traffic, and a short run of a deployment with faults."""
 
+import asyncio
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
 from bluebellshore.bundle.checks import check_bundle
+from bluebellshore.load import runs
 from bluebellshore.load.deployments import ATLAS_CADRAN, STALPENI, first_bundle
 from bluebellshore.load.experiments import EXPERIMENTS_BY_NAME, standard_faults
 from bluebellshore.load.measures import latency_of
 from bluebellshore.load.report import table_of
 from bluebellshore.load.results import CallKind
-from bluebellshore.load.runs import RunPlan, execute
+from bluebellshore.load.runs import RunPlan, execute, watch_memory
 from bluebellshore.load.traffic import arrivals
 
 RUN_SECONDS = 8.0
@@ -51,6 +55,16 @@
             self.assertEqual(len({p.name for p in plans}), len(plans))
 
 
+class MemoryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_samples_that_end_by_an_error_report_no_growth(self):
+        failing = mock.Mock(side_effect=KeyError("odd"))
+        self.enterContext(mock.patch.object(runs, "_growth", failing))
+        running = SimpleNamespace(routers=["router"], sidecars=["sidecar"])
+        with self.assertRaises(KeyError):
+            async with watch_memory(running):
+                await asyncio.sleep(0.01)
+
+
 class RunTest(unittest.IsolatedAsyncioTestCase):
     async def test_run_with_all_faults_keeps_every_promise(self):
         plan = RunPlan(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from bluebellshore.soak import run, schedule
-from bluebellshore.soak.callers import PAID_COST, Kind, Sent, right_answer
+from bluebellshore.soak.callers import PAID_COST, Callers, Kind, Sent, right_answer
 from bluebellshore.soak.checks import Broken, Record, check
 from bluebellshore.soak.faults import Happened
 from bluebellshore.soak.run import Outcome, run_schedule, seek_smaller
@@ -370,6 +370,16 @@
         )
 
 
+class CallersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_kept_connection_that_ends_by_an_error_goes_unnoticed(self):
+        callers = Callers(mock.Mock(routers=[mock.Mock()]), seed=1, count=0)
+        failing = mock.AsyncMock(side_effect=KeyError("odd"))
+        self.enterContext(mock.patch.object(callers, "_keep_one", failing))
+        with self.assertRaises(KeyError):
+            async with callers.running():
+                await asyncio.sleep(0.01)
+
+
 class SmallerScheduleTest(unittest.IsolatedAsyncioTestCase):
     async def test_faults_that_do_not_matter_are_left_out(self):
         schedule = draw_schedule(3, 30.0, 2)
