Say that ended requests also time out at an attempt, and are cut with no answer

The meaning of 'timed-out' named the deadline only, while a request whose last attempt times out before it ends the same way (status 504); that of 'cut' named answers that broke off, while the stop of the router and a cancellation within it log it with status 0, with no part of an answer sent.

Cause: both outcomes got further uses.

--- a/bluebellshore/decisions/kinds.py
+++ b/bluebellshore/decisions/kinds.py
@@ -85,9 +85,10 @@
     COMPLETED = "completed"
     #: The caller received an error, e.g. one that the backend server answered.
     FAILED = "failed"
-    #: The answer broke off after a part of it was sent.
+    #: The answer broke off after a part of it was sent, or the router ended the request
+    #: without one.
     CUT = "cut"
-    #: No answer arrived before the deadline.
+    #: No answer arrived before the deadline, or before the timeout of its last attempt.
     TIMED_OUT = "timed-out"
     #: The caller disconnected before the end.
     LEFT = "left"
