Don't refuse requests without a key for an unknown key

A request with no key, or with several, was refused with "unknown key", in the log and to its caller.

Cause: one text for both checks of the key. Change: the text gives the number of keys if it isn't one. Status and step are unchanged.

--- a/bluebellshore/entry/intake.py
+++ b/bluebellshore/entry/intake.py
@@ -68,7 +68,10 @@
         return None
     customer = configuration.customer_of(keys[0]) if len(keys) == 1 else None
     if customer is None:
-        raise RefusedError("unknown key", step=STEP, status=401)
+        reason = (
+            "unknown key" if len(keys) == 1 else f"{len(keys)} keys in place of one"
+        )
+        raise RefusedError(reason, step=STEP, status=401)
     return customer
 
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -20,7 +20,7 @@
 from bluebellshore.entry.stop_schedule import StopSchedule
 from bluebellshore.fleet import RouteKind
 from bluebellshore.ids import IncarnationId, ZoneName
-from bluebellshore.platform.names import ATTEMPT_HEADER, DEADLINE_HEADER
+from bluebellshore.platform.names import ATTEMPT_HEADER, DEADLINE_HEADER, KEY_HEADER
 from bluebellshore.routing.crash_tracker import CrashTracker
 from bluebellshore.routing.load import LoadReport, LoadTracker, ServerLoad
 from bluebellshore.routing.outlier_detection import OutlierDetector
@@ -265,6 +265,21 @@
         self.assertEqual(self.line("ended")["outcome"], "failed")
 
 
+class KeyTest(EntryCase):
+    route_options: dict = {}
+
+    async def test_request_without_a_key_was_refused_for_an_unknown_one(self):
+        # Whoever forgot a key looks for another fault than whoever has a wrong one.
+        for headers, reason in (
+            ({}, "0 keys in place of one"),
+            ({KEY_HEADER: "other"}, "unknown key"),
+        ):
+            self.lines.clear()
+            async with self.get(**headers) as response:
+                self.assertEqual(response.status, 401)
+            self.assertEqual(self.line("refused")["reason"], reason)
+
+
 class UnsafeRequestTest(EntryCase):
     kind = RouteKind.UNSAFE
 
