Take a request off the queue however its wait ends

Callers behind a request whose wait ended by an unexpected error could not be placed any more: each try to place waiting requests of the service raised KeyError.

Cause: only a cancellation took the request off the queue. Change: the end of the wait does. The test of such a wait no longer takes the request off itself, and places the queue afterwards: KeyError before, passes now.

--- a/bluebellshore/entry/admission.py
+++ b/bluebellshore/entry/admission.py
@@ -217,7 +217,6 @@
         except asyncio.CancelledError:
             # The request's last line says why.
             outcome = "cancelled"
-            queue.withdraw(call)
             future = waiting.future
             if future.done() and not future.cancelled() and not future.exception():
                 self._loads.end(
@@ -225,6 +224,7 @@
                 )
             raise
         finally:
+            queue.withdraw(call)
             self._waiting.pop(id(call), None)
             self._log.waited(
                 call.attempt_id,
--- a/bluebellshore/routing/waiting.py
+++ b/bluebellshore/routing/waiting.py
@@ -149,7 +149,7 @@
         ]
 
     def withdraw(self, call: Call) -> bool:
-        """Remove a request that was cancelled.
+        """Remove a request that waits no longer.
 
         :return: False if the request was not waiting.
         """
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -439,11 +439,12 @@
         # An unexpected error gives no place.
         first, second = await self.send_to_a_full_server()
         waiting = next(iter(self.admission._waiting.values()))
-        self.admission._queues["engines"].withdraw(waiting.call)
         waiting.future.set_exception(RuntimeError("unexpected"))
         async with await second as response:
             self.assertEqual(response.status, 500)
         self.assertEqual(self.line("waited")["outcome"], "failed")
+        # The requests behind it could not be placed: KeyError.
+        self.admission.place_waiting("engines")
         first.cancel()
 
 
