Create the row of an incarnation once only

An entry router whose commit was cancelled from within ran its accounting from the top: if a successor had removed its row meanwhile, it created it again, forgot that it was fenced, and drew tokens beside its successor (BUDGET possible). No source of such a cancellation is known.

Change: accounting goes on after such a cancellation, as after an error, without creating the row again.

--- a/bluebellshore/entry/budgets.py
+++ b/bluebellshore/entry/budgets.py
@@ -20,6 +20,7 @@
 from bluebellshore.budget.holders import BudgetHolders
 from bluebellshore.budget.predecessor import PredecessorRecovery
 from bluebellshore.budget.rows import BudgetRow, budget_key, decode_row
+from bluebellshore.cancellation import is_cancelling
 from bluebellshore.decisions import DecisionLog
 from bluebellshore.entry.background import keep_running
 from bluebellshore.entry.budget_log import BudgetLog
@@ -410,11 +411,15 @@
 
     async def _run_accountant(self) -> None:
         await self._accountant.open(self._instance_id)
+        # The row is created once only: it may be gone since a successor fenced this
+        # incarnation.
         while True:
             try:
                 await self._accountant.run()
                 break
-            except Exception:
+            except (Exception, asyncio.CancelledError):
+                if is_cancelling():
+                    raise
                 eliot.write_traceback()  # an unreadable row must not end accounting
             await asyncio.sleep(RECOVERY_RETRY_SECONDS)
         if self.fenced:
--- a/tests/test_entry_budgets.py
+++ b/tests/test_entry_budgets.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bluebellshore.budget.accountant import Accountant
 from bluebellshore.budget.accounts import AllotmentAccounts
 from bluebellshore.budget.committer import TransactionCommitter
 from bluebellshore.budget.predecessor import PredecessorRecovery
@@ -388,6 +389,41 @@
         await router.close()
         self.assertEqual(fleet.row().settled, 100)
 
+    @in_virtual_time
+    async def test_cancelled_commit_makes_a_fenced_router_forget_its_fence(self):
+        # Its row was created again, and it went on to draw beside its successor.
+        fleet = SimulatedFleet({"acme": PREPAID})
+        old = await fleet.start("r1")
+        await asyncio.sleep(1)
+        commit, recovered = Accountant._commit, asyncio.Event()
+
+        async def cancelled_once(accountant):
+            if accountant is old._accountant and not recovered.is_set():
+                await recovered.wait()
+                raise asyncio.CancelledError
+            return await commit(accountant)
+
+        self.enterContext(mock.patch.object(Accountant, "_commit", cancelled_once))
+        successor = await fleet.start("r1")
+        await asyncio.sleep(5)
+        recovered.set()
+        spent = 0
+        for number in range(200):
+            for name, router in (("old", old), ("new", successor)):
+                attempt = f"{name}{number}"
+                try:
+                    await router.reserve("acme", attempt, 500, wait_seconds=0.3)
+                except RefusedError:
+                    continue
+                router.settle(attempt, 500)
+                spent += 500
+            await asyncio.sleep(0.2)
+        self.assertTrue(old.fenced)
+        self.assertNotIn(old.incarnation, fleet.row().allotments)
+        self.assertLessEqual(spent, PREPAID)
+        await old.abandon()
+        await successor.close()
+
     @in_virtual_time
     async def test_failed_recovery_after_a_restore_trusts_the_caps_of_the_copy(self):
         # They lack what was spent after the copy, so that too much was returned.
