Connect a link again after a read that was cancelled from within

No source of such a cancellation is known.

Test: test_link_whose_read_is_cancelled_is_lost_for_good fails before (no second connection in 5 s) and passes.

--- a/bluebellshore/wire/router_link.py
+++ b/bluebellshore/wire/router_link.py
@@ -9,6 +9,7 @@
 import eliot
 import grpc
 
+from bluebellshore.cancellation import is_cancelling
 from bluebellshore.errors import LinkError
 from bluebellshore.wire import link_pb2 as pb
 from bluebellshore.wire import link_pb2_grpc
@@ -96,8 +97,11 @@
                     await self._run_connection(call)
             except (grpc.aio.AioRpcError, LinkError, TimeoutError) as error:
                 self._log_lost(error)
-            except Exception as error:
-                # A malformed frame must only end this connection, not the link.
+            except (Exception, asyncio.CancelledError) as error:
+                # A malformed frame must only end this connection, not the link, and so
+                # must a cancellation that isn't the link's own.
+                if is_cancelling():
+                    raise
                 eliot.write_traceback()
                 self._log_lost(error)
             finally:
@@ -111,7 +115,7 @@
             await asyncio.sleep(delay * random.uniform(0.5, 1.0))
             delay = min(delay * 2, MAX_RECONNECT_DELAY_SECONDS)
 
-    def _log_lost(self, error: Exception) -> None:
+    def _log_lost(self, error: BaseException) -> None:
         eliot.log_message(
             "link_lost",
             step=getattr(error, "step", "link.handle"),
@@ -194,7 +198,7 @@
             await asyncio.sleep(self._heartbeat_seconds)
 
 
-def _reason_of(error: Exception) -> str:
+def _reason_of(error: BaseException) -> str:
     if isinstance(error, grpc.aio.AioRpcError):
         return error.details() or error.code().name
     return str(error) or type(error).__name__
