Try to open accounting again after a step that failed

Change: as for the steps after it, the failure is logged and tried again. No test of its own; tests.test_router_incarnation passes.

--- a/bluebellshore/router/incarnation.py
+++ b/bluebellshore/router/incarnation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import socket
 import time
@@ -320,7 +321,10 @@
     # Background tasks
 
     async def _run_accountant(self) -> None:
-        await self._accountant.open(InstanceId(self.settings.instance_id))
+        instance_id = InstanceId(self.settings.instance_id)
+        open_row = functools.partial(self._accountant.open, instance_id)
+        while not await self._run_step(open_row):
+            await asyncio.sleep(ACCOUNTING_RETRY_SECONDS)
         # An unreadable row must not end accounting.
         while not await self._run_step(self._accountant.run):
             await asyncio.sleep(ACCOUNTING_RETRY_SECONDS)
