--- a/bluebellshore/entry/ingress.py
+++ b/bluebellshore/entry/ingress.py
@@ -254,7 +254,7 @@
             if is_cancelling():
                 raise
             eliot.write_traceback()
-            if self._closing:
+            if self.stop_schedule is not None and self._closing:
                 raise self._stop_error(sent=trace.sent) from error
             raise _end_error(
                 CANCELLED_REASON,
--- a/bluebellshore/entry/peer_channels.py
+++ b/bluebellshore/entry/peer_channels.py
@@ -76,7 +76,7 @@
         except asyncio.CancelledError as error:
             if is_cancelling():
                 raise
-            message = "the connection was closed"
+            message = "the call was cancelled by this router"
             raise LinkError(message, step=step, peer=address) from error
 
     async def replace(self, address: str) -> int:
