--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -865,8 +865,8 @@
         "late-deadline",
         "deadline of a request that a stopping router begins",
         "bluebellshore/entry/ingress.py",
-        "and not schedule.accepts(call.deadline, now)",
-        "and False",
+        "if self._ended or not schedule.accepts(call.deadline, now):",
+        "if self._ended:",
         "tests.test_entry_stops.LateRequestTest"
         ".test_new_connection_late_in_a_stop_gets_an_answer_or_a_refusal",
     ),
@@ -1051,6 +1051,15 @@
         "tests.test_entry_silent_peers.SilentPeerTest"
         ".test_failed_exchanges_end_the_call_that_asks_for_rows",
     ),
+    Mutant(
+        "channel-never-closed",
+        "close of a replaced channel after its last call",
+        "bluebellshore/entry/peer_channels.py",
+        "            if channel.replaced and not channel.calls:\n",
+        "            if False:\n",
+        "tests.test_entry_peer_channels.ChannelTest"
+        ".test_replaced_channel_stays_open_after_its_last_call",
+    ),
     Mutant(
         "cancelled-with-the-channel",
         "calls on a channel that the stop closes",
--- a/tests/test_entry_peer_channels.py
+++ b/tests/test_entry_peer_channels.py
@@ -66,9 +66,10 @@
         self.assertIs(grpc.ChannelConnectivity.SHUTDOWN, channel.get_state())
 
     async def test_close_leaves_calls_on_replaced_channels(self):
-        task, _ = await self.begin_call()
+        task, channel = await self.begin_call()
         await self.channels.replace(self.address)
         await self.channels.close()
+        self.assertIs(grpc.ChannelConnectivity.SHUTDOWN, channel.get_state())
         with self.assertRaises(LinkError):
             await task
 
