--- a/review/7/case.py
+++ b/review/7/case.py
@@ -101,7 +101,9 @@
     await asyncio.sleep(max(0.0, back_at + RECOVERY_SECONDS - time.monotonic()))
     after = await system.load("/work/x", RATE, MEASURED_SECONDS)
     statuses = dict(Counter(answer["status"] for answer in after))
-    texts = Counter(a["body"].decode(errors="replace")[:90] for a in after if a["status"] >= 400)
+    texts = Counter(
+        a["body"].decode(errors="replace")[:90] for a in after if a["status"] >= 400
+    )
     system.note(f"later than {RECOVERY_SECONDS} s: {len(after)} requests, {statuses}")
     for text, count in texts.most_common(3):
         system.note(f"  {count} x {text.strip()}")
