--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 from review.system_2 import System, main, with_trouble
 
 SERVICE = "plain"
-ROUTES = [StandinRoute("/work/", "safe", SERVICE)]
+ROUTES = [StandinRoute("/desk/", "safe", SERVICE)]
 ROLLOUT_SECONDS = 15
 RATE = 45.0
 #: The copy is younger than the completion: it has the order and its end.
@@ -67,7 +67,7 @@
             await system.add_runner(f"plain-{version}-{number}", settings)
     await system.start_routers()
     platform = asyncio.create_task(play_platform(system))
-    load = asyncio.create_task(system.load("/work/x", RATE, 18.0))
+    load = asyncio.create_task(system.load("/desk/x", RATE, 18.0))
     await asyncio.sleep(3.0)
     for number in range(2):
         settings = RunnerSettings(SERVICE, version="2", slots=16, seconds=0.02)
@@ -80,13 +80,13 @@
     if status is None or status["state"] != "completed":
         raise RuntimeError(f"the roll-out was not completed: {status}")
     system.note(f"served during the roll-out: {share_served(before):.3f}")
-    before = await system.load("/work/x", RATE, SECONDS_AFTER_COMPLETION)
+    before = await system.load("/desk/x", RATE, SECONDS_AFTER_COMPLETION)
     system.note(f"served after the completion: {share_served(before):.3f}")
     if with_trouble():
         await system.restore(AWAY_SECONDS, COPY_SECONDS)
     else:
         await asyncio.sleep(AWAY_SECONDS)
-    before = await system.load("/work/x", RATE, 5.0)
+    before = await system.load("/desk/x", RATE, 5.0)
     system.note(f"served before the final fault: {share_served(before):.3f}")
     system.note("all routers are killed")
     await asyncio.gather(*(router.end() for router in system.routers))
@@ -96,10 +96,10 @@
     await system.wait_ready(system.routers)
     back_at = time.monotonic()
     system.note("all routers are back and ready")
-    early = await system.load("/work/x", RATE, RECOVERY_SECONDS)
+    early = await system.load("/desk/x", RATE, RECOVERY_SECONDS)
     system.note(f"served in the first {RECOVERY_SECONDS} s: {share_served(early):.3f}")
     await asyncio.sleep(max(0.0, back_at + RECOVERY_SECONDS - time.monotonic()))
-    after = await system.load("/work/x", RATE, MEASURED_SECONDS)
+    after = await system.load("/desk/x", RATE, MEASURED_SECONDS)
     statuses = dict(Counter(answer["status"] for answer in after))
     texts = Counter(
         a["body"].decode(errors="replace")[:90] for a in after if a["status"] >= 400
